--- /dev/null
+++ b/src/main/java/pearusher/Rules.java
@@ -0,0 +1,808 @@
+package pearusher;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Every decision of pearusher. Its settings, events and orders are in Assigner.java beside it.
+ *
+ * <p>The ordinary path is FaaSt's: each period the time r = d + p of every server as seen from a proxy zone
+ * gives that zone's shared table the weight 1/r, normalised; all serving servers are listed. The rest of this
+ * file is what the design leaves open: evidence, illness, cold servers, levels, retries, the channel, the
+ * list and starting over. {@link #plan} runs once a period; {@link #send} is the only place that orders.
+ */
+public final class Rules implements Assigner {
+
+    // Tuned values. Each is a ratio of a setting where one fits.
+
+    /** Periods after which evidence counts half: reports lag by one or more, and a period holds few tries. */
+    private static final double HALF_PERIODS = 2.0;
+    /** Periods after which the evidence of a server nobody tries counts half: it is tried anew. */
+    private static final double FADE_PERIODS = 5.0;
+    /** Tries of the table's average that stand in for what was not heard yet. */
+    private static final double PRIOR_TRIES = 3.0;
+    /** Tries of the server's own average over all zones that steady one zone's figure. */
+    private static final double POOL_TRIES = 6.0;
+    /** A guess at an unloaded answer, as a share of the shortest aim, until the first report. */
+    private static final double FIRST_GUESS = 0.3;
+    /** Distance between zones, in aims for each point that a crossing costs. */
+    private static final double CROSS_AIMS = 50.0;
+    /** The design's dead band: a line goes out once its weight moved by a tenth. */
+    private static final double DEAD_BAND = 0.1;
+    /** Most that a weight may grow or shrink in a period: reports lag, large steps swing. */
+    private static final double GROW = 1.3;
+    private static final double SHRINK = 0.6;
+    /** The design's count of a failure: so many times the largest average. */
+    private static final double FAILURE_TIMES = 2.0;
+    /** Power of the share of good answers, relative to the fleet's median, by which an ill server is cut. */
+    private static final double ILL_POWER = 4.0;
+    /** A server whose mean passes this share of the aim, and the median by LATE_TIMES, is cut likewise. */
+    private static final double LATE_AIMS = 0.5;
+    private static final double LATE_TIMES = 1.5;
+    /** Least factor of an ill server: enough tries to see it well again. */
+    private static final double ILL_LEAST = 0.01;
+    /** Standard deviations by which answers must be missing before the missing ones count as failures. */
+    private static final double MISSING_SIGMAS = 3.0;
+    /** The design's first weight of a new server, as a share of the average. */
+    private static final double COLD_FIRST = 0.1;
+    /** Share of rule 4 multiple that a cold server may get, of a usual server's requests. */
+    private static final double COLD_BUDGET = 0.4;
+    /** Share of the backlog kept for what can be put off (design) and for what can't. */
+    private static final double QUEUE_CALM = 0.5;
+    private static final double QUEUE_MOST = 0.85;
+    /** Overload: the median server's mean, as a share of the shortest aim, or its share of failures. */
+    private static final double OVER_AIMS = 0.75;
+    private static final double OVER_FAILED = 0.15;
+    /** Calm again under this share of both. */
+    private static final double CALM_SHARE = 0.6;
+    /** Levels: cut and growth a period, the least total let in, and the least of one class. */
+    private static final double LEVEL_CUT = 0.12;
+    private static final double LEVEL_GROW = 0.05;
+    private static final double LEVEL_LEAST = 0.4;
+    private static final double CLASS_LEAST = 0.1;
+    /** A rate that limits nobody, requests a second. */
+    private static final double NO_LIMIT = 1e6;
+    /** Part of the limit for asking the list after which a failed watch is renewed (or half a period). */
+    private static final double ASK_AGAIN = 0.05;
+    /** A period's pass waits this share of a period for the reports, then goes without them. */
+    private static final double EARLY = 0.8;
+    private static final double LATEST = 1.3;
+
+    private static final long PASS = 1;
+    private static final long WATCH = 2;
+
+    /** Tries counted by what they brought; decays with the time it covers. */
+    private static final class Tally {
+        double good;
+        double sumUs;
+        double bad;
+
+        void decay(double factor) {
+            good *= factor;
+            sumUs *= factor;
+            bad *= factor;
+        }
+    }
+
+    private static final class Server {
+        final long id;
+        int zone;
+        double listed = 1;
+        State state = State.READY;
+        long startedUs;
+        boolean out;
+        boolean probeFailed;
+        boolean ill;
+        double expected;
+        double ended;
+        double heardNow;
+        double meanUs;
+        double failShare;
+        double factor = 1;
+        Tally[] cells;
+
+        Server(long id, int zones) {
+            this.id = id;
+            forget(zones);
+        }
+
+        final void forget(int zones) {
+            cells = new Tally[zones];
+            for (int z = 0; z < zones; z++) {
+                cells[z] = new Tally();
+            }
+            expected = 0;
+            ended = 0;
+            probeFailed = false;
+            factor = 1;
+        }
+
+        double good() {
+            double n = 0;
+            for (Tally t : cells) {
+                n += t.good;
+            }
+            return n;
+        }
+
+        double sumUs() {
+            double n = 0;
+            for (Tally t : cells) {
+                n += t.sumUs;
+            }
+            return n;
+        }
+
+        double bad() {
+            double n = 0;
+            for (Tally t : cells) {
+                n += t.bad;
+            }
+            return n;
+        }
+    }
+
+    private static final class Proxy {
+        final int zone;
+        final long joinedUs;
+        boolean bound;
+        double[] perS;
+        final ArrayDeque<double[]> unanswered = new ArrayDeque<>();
+
+        Proxy(int zone, long joinedUs, int grades) {
+            this.zone = zone;
+            this.joinedUs = joinedUs;
+            perS = new double[grades];
+        }
+    }
+
+    /** One zone's shared table: the weights planned, those sent, and the shares of the last passes. */
+    private static final class Table {
+        final Map<Long, Double> planned = new TreeMap<>();
+        final Map<Long, Double> sent = new TreeMap<>();
+        final ArrayDeque<Map<Long, Double>> past = new ArrayDeque<>();
+        double endedNow;
+    }
+
+    private final Settings set;
+    private final Orders to;
+    private final double aimUs;
+    private final Map<Long, Server> servers = new TreeMap<>();
+    private final Map<Integer, Proxy> proxies = new TreeMap<>();
+    private final Table[] tables;
+    private final LinkedHashSet<Long> withdrawals = new LinkedHashSet<>();
+    private final double[] levelSent;
+    private final int[] retrySent;
+    private final double[] level;
+    private boolean started;
+    private boolean watching;
+    private boolean watchAsked;
+    private boolean reports;
+    private boolean over;
+    private double let = 1;
+    private double usualPerServer;
+    private long plannedUs;
+    private boolean passDue;
+    private int mark;
+    private double waiting;
+    private long waitingUs;
+    private double pace = 1;
+
+    public Rules(Settings set, Orders to) {
+        this.set = set;
+        this.to = to;
+        double least = Double.MAX_VALUE;
+        for (Grade g : set.grades()) {
+            least = Math.min(least, g.aimUs());
+        }
+        aimUs = set.grades().isEmpty() ? set.periodUs() : least;
+        int zones = Math.max(1, set.zones());
+        tables = new Table[zones];
+        for (int z = 0; z < zones; z++) {
+            tables[z] = new Table();
+        }
+        int n = set.grades().size();
+        level = new double[n];
+        levelSent = new double[n];
+        retrySent = new int[n];
+        Arrays.fill(level, 1);
+        Arrays.fill(levelSent, 1);
+        Arrays.fill(retrySent, set.usualRetry());
+        if (set.slices() > 0) {
+            to.log("slices are not served: this instance binds nothing and orders nothing");
+        }
+    }
+
+    // The list of servers.
+
+    @Override
+    public void listed(long now, ListForm form, List<Entry> entries) {
+        if (form == ListForm.FAILED) {
+            if (watching || !watchAsked) {
+                to.log("list lost");
+            }
+            watching = false;
+            watchAsked = true;
+            to.timer(Math.max(set.periodUs() / 2, (long) (ASK_AGAIN * set.limits().askWithinUs())), WATCH);
+            return;
+        }
+        if (form != ListForm.CACHED && !watching) {
+            watching = true;
+            if (watchAsked) {
+                to.log("list back");
+            }
+        }
+        LinkedHashSet<Long> named = new LinkedHashSet<>();
+        for (Entry e : entries) {
+            named.add(e.server());
+            Server s = servers.get(e.server());
+            if (s == null) {
+                if (e.state() == State.GONE) {
+                    continue;
+                }
+                s = new Server(e.server(), tables.length);
+                servers.put(s.id, s);
+            } else if (e.startedUs() != s.startedUs && e.state() == State.READY) {
+                s.forget(tables.length);
+            }
+            s.zone = Math.min(e.zone(), tables.length - 1);
+            s.listed = e.weight() > 0 ? e.weight() : 1;
+            s.startedUs = e.startedUs();
+            state(s, e.state());
+        }
+        if (form != ListForm.CHANGES) {
+            for (Server s : servers.values()) {
+                if (!named.contains(s.id)) {
+                    state(s, State.GONE);
+                }
+            }
+        }
+    }
+
+    /** A draining or gone server is withdrawn at once; one that is ready again is let in and is cold. */
+    private void state(Server s, State state) {
+        s.state = state;
+        if (s.out != (state != State.READY)) {
+            s.out = !s.out;
+            if (!withdrawals.remove(s.id)) {
+                withdrawals.add(s.id);
+            }
+        }
+    }
+
+    private boolean serving(Server s) {
+        return s.state == State.READY;
+    }
+
+    // Proxies.
+
+    @Override
+    public void joined(long now, int proxy, int zone, double perS, boolean onlyStanding) {
+        Proxy p = new Proxy(Math.min(zone, tables.length - 1), now, level.length);
+        Arrays.fill(p.perS, Math.max(0, perS) / Math.max(1, level.length));
+        proxies.put(proxy, p);
+    }
+
+    @Override
+    public void left(long now, int proxy) {
+        proxies.remove(proxy);
+    }
+
+    @Override
+    public void applied(long now, int proxy, int number, long tookUs) {
+        Proxy p = proxies.get(proxy);
+        if (p == null) {
+            return;
+        }
+        while (!p.unanswered.isEmpty()) {
+            double[] first = p.unanswered.peek();
+            if (first[0] > number) {
+                return;
+            }
+            p.unanswered.poll();
+            if (first[0] == number) {
+                paceFrom(first[1], tookUs);
+            }
+        }
+    }
+
+    /** An answer later than the longest way allows tells a channel slower than stated. */
+    private void paceFrom(double ahead, long tookUs) {
+        double statedUs = ahead / set.channel().linesPerS() * 1e6;
+        double spareUs = tookUs - set.channel().lateMostUs();
+        if (spareUs > statedUs / pace) {
+            pace = Math.max(0.05, Math.max(pace * 0.5, statedUs / spareUs));
+        } else if (tookUs < set.channel().lateMostUs() + statedUs) {
+            pace = Math.min(1, pace * 1.1);
+        }
+    }
+
+    // Reports.
+
+    @Override
+    public void heard(long now, long server, int zone, long tries, long failed, long spanUs, long meanUs,
+            float[] load) {
+        Server s = servers.get(server);
+        if (s == null || zone >= tables.length || tries <= 0) {
+            return;
+        }
+        Tally t = s.cells[zone];
+        t.decay(Math.pow(0.5, spanUs / (HALF_PERIODS * set.periodUs())));
+        long bad = Math.min(failed, tries);
+        t.good += tries - bad;
+        t.sumUs += (double) (tries - bad) * meanUs;
+        t.bad += bad;
+        s.heardNow += tries;
+        tables[zone].endedNow += tries;
+        reports = true;
+    }
+
+    @Override
+    public void usage(long now, int proxy, int grade, long requests, long failed, long spanUs) {
+        Proxy p = proxies.get(proxy);
+        if (p == null || grade >= p.perS.length || spanUs <= 0) {
+            return;
+        }
+        double keep = Math.pow(0.5, spanUs / (HALF_PERIODS * set.periodUs()));
+        p.perS[grade] = keep * p.perS[grade] + (1 - keep) * requests * 1e6 / spanUs;
+    }
+
+    @Override
+    public void probed(long now, long server, Probe end, long tookUs, float[] load) {
+        Server s = servers.get(server);
+        if (s != null && end != Probe.TURNED_AWAY) {
+            s.probeFailed = end != Probe.OK;
+        }
+    }
+
+    @Override
+    public void told(long now, int peer, byte[] body) {
+        // Assigners agree on nothing: each keeps every rule alone.
+    }
+
+    @Override
+    public void sliceGiven(long now, int slice, boolean given) {
+        // Slices are not served; the start said so.
+    }
+
+    @Override
+    public void sliceLine(long now, int slice, long server, double weight) {
+        // Slices are not served.
+    }
+
+    @Override
+    public void sliceUsage(long now, int slice, int grade, long requests, long failed, long spanUs) {
+        // Slices are not served.
+    }
+
+    @Override
+    public void timer(long now, long token) {
+        if (token == PASS) {
+            passDue = true;
+        } else if (token == WATCH && !watching) {
+            to.watch(true);
+        }
+    }
+
+    @Override
+    public void close(long now) {
+        if (set.slices() > 0) {
+            return;
+        }
+        if (!started) {
+            started = true;
+            waitingUs = now;
+            plannedUs = now;
+            if (set.listOnRequest()) {
+                to.watch(true);
+            } else {
+                watching = true;
+            }
+            plan(now);
+        }
+        long since = now - plannedUs;
+        if (passDue || reports && since >= EARLY * set.periodUs()) {
+            if (reports || since >= LATEST * set.periodUs()) {
+                plan(now);
+            } else {
+                passDue = false;
+                to.timer((long) (LATEST * set.periodUs()) - since, PASS);
+            }
+        }
+        send(now);
+    }
+
+    // The period's pass.
+
+    private void plan(long now) {
+        double periods = (now - plannedUs) / (double) set.periodUs();
+        plannedUs = now;
+        passDue = false;
+        to.timer(set.periodUs(), PASS);
+        missing();
+        double fade = Math.pow(0.5, periods / FADE_PERIODS);
+        for (Server s : servers.values()) {
+            if (s.heardNow == 0 && !s.probeFailed) {
+                for (Tally t : s.cells) {
+                    t.decay(fade);
+                }
+            }
+            s.heardNow = 0;
+        }
+        reports = false;
+        judge(now);
+        for (int z = 0; z < tables.length; z++) {
+            weigh(now, z);
+        }
+        levels();
+        for (Server s : servers.values()) {
+            if (set.probes() && serving(s) && s.ill) {
+                to.probe(s.id);
+            }
+        }
+    }
+
+    /**
+     * Missing answers count as failures. Guards against servers that take requests and answer none, whose
+     * figures else linger; also catches cut links and stalls. Could harm a server whose share has just been
+     * raised, so the least share of the last passes is what is expected.
+     */
+    private void missing() {
+        double keep = Math.pow(0.5, 1 / HALF_PERIODS);
+        for (Server s : servers.values()) {
+            double expect = 0;
+            for (Table t : tables) {
+                double share = t.past.size() < 3 ? 0 : 1;
+                for (Map<Long, Double> p : t.past) {
+                    share = Math.min(share, p.getOrDefault(s.id, 0.0));
+                }
+                expect += share * t.endedNow;
+            }
+            s.expected = s.expected * keep + expect;
+            s.ended = s.ended * keep + s.heardNow;
+            double gap = s.expected - s.ended;
+            if (gap > MISSING_SIGMAS * Math.sqrt(s.expected + 1) && serving(s)) {
+                for (Tally t : s.cells) {
+                    t.bad += expect / tables.length * gap / s.expected;
+                }
+            }
+        }
+        for (Table t : tables) {
+            t.endedNow = 0;
+        }
+    }
+
+    private static double median(List<Double> of) {
+        if (of.isEmpty()) {
+            return 0;
+        }
+        List<Double> sorted = new ArrayList<>(of);
+        sorted.sort(null);
+        int n = sorted.size();
+        return (sorted.get((n - 1) / 2) + sorted.get(n / 2)) / 2;
+    }
+
+    /** Each server's average time and share of failures, and how ill it is beside the fleet's median. */
+    private void judge(long now) {
+        double good = 0;
+        double sum = 0;
+        double sizes = 0;
+        int n = 0;
+        for (Server s : servers.values()) {
+            if (serving(s)) {
+                good += s.good();
+                sum += s.sumUs();
+                sizes += s.listed;
+                n++;
+            }
+        }
+        double average = (sum + FIRST_GUESS * aimUs) / (good + 1);
+        List<Double> means = new ArrayList<>();
+        List<Double> fails = new ArrayList<>();
+        for (Server s : servers.values()) {
+            double size = n == 0 ? 1 : s.listed * n / sizes;
+            s.meanUs = (s.sumUs() + PRIOR_TRIES * average / size) / (s.good() + PRIOR_TRIES);
+            s.failShare = s.bad() / (s.good() + s.bad() + PRIOR_TRIES);
+            if (serving(s)) {
+                means.add(s.meanUs);
+                fails.add(s.failShare);
+            }
+        }
+        double mean = median(means);
+        double fail = median(fails);
+        for (Server s : servers.values()) {
+            double excess = Math.max(0, Math.min(1, s.failShare - fail));
+            double late = Math.max(LATE_AIMS * aimUs, LATE_TIMES * mean) / s.meanUs;
+            s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, ILL_POWER) * Math.pow(Math.min(1, late), 2));
+            boolean ill = s.factor < 0.3;
+            if (ill != s.ill && serving(s) && s.factor < 0.3 | s.factor > 0.6) {
+                s.ill = ill;
+                to.log("server " + Long.toHexString(s.id) + (ill ? " ill" : " well"));
+            }
+        }
+        boolean calm = mean < CALM_SHARE * OVER_AIMS * aimUs && fail < CALM_SHARE * OVER_FAILED;
+        boolean jammed = mean > OVER_AIMS * aimUs || fail > OVER_FAILED;
+        if (jammed != over && (jammed || calm)) {
+            over = jammed;
+            to.log(over ? "overload: levels lowered" : "overload over");
+        }
+        if (jammed) {
+            let = Math.max(LEVEL_LEAST, let - LEVEL_CUT);
+        } else if (calm) {
+            let = Math.min(1, let + LEVEL_GROW);
+        }
+    }
+
+    private double coldShare(Server s, long now, double first) {
+        if (s.startedUs == 0) {
+            return 1;
+        }
+        double age = Math.max(0, now - s.startedUs) / (double) Math.max(1, set.limits().rampUs());
+        return Math.min(1, first + (1 - first) * age);
+    }
+
+    /** Zone z's table: weight inverse to d + p, an ill or cold server's cut, all moves bounded. */
+    private void weigh(long now, int z) {
+        Table table = tables[z];
+        double apart = CROSS_AIMS * set.prices().crossZone() * aimUs;
+        double largest = 0;
+        double answered = 0;
+        double sumUs = 0;
+        double tried = 0;
+        for (Server s : servers.values()) {
+            if (serving(s)) {
+                largest = Math.max(largest, s.meanUs);
+                answered += s.good();
+                sumUs += s.meanUs * (s.good() + 1);
+                tried += s.good() + 1;
+            }
+        }
+        double average = tried == 0 ? aimUs : sumUs / tried;
+        boolean silent = answered < 1 && !table.planned.isEmpty();
+        Map<Long, Double> fresh = new TreeMap<>();
+        double total = 0;
+        for (Server s : servers.values()) {
+            if (!serving(s)) {
+                continue;
+            }
+            Tally t = s.cells[z];
+            double bad = s.bad();
+            double pooled = (s.meanUs * (s.good() + PRIOR_TRIES) + bad * FAILURE_TIMES * largest)
+                    / (s.good() + PRIOR_TRIES + bad);
+            double p = (t.sumUs + t.bad * FAILURE_TIMES * largest + POOL_TRIES * pooled)
+                    / (t.good + t.bad + POOL_TRIES);
+            double d = s.zone == z ? 0 : apart;
+            double cold = coldShare(s, now, COLD_FIRST);
+            double weight = s.factor / (d + p);
+            if (cold < 1) {
+                weight = s.factor * cold / (d + Math.max(average, p));
+            }
+            fresh.put(s.id, weight);
+            total += weight;
+        }
+        double sum = 0;
+        for (Map.Entry<Long, Double> e : fresh.entrySet()) {
+            double share = e.getValue() / total;
+            Double last = table.planned.get(e.getKey());
+            Server s = servers.get(e.getKey());
+            if (last != null && coldShare(s, now, COLD_FIRST) >= 1) {
+                share = silent ? last : Math.min(share, last * GROW);
+                if (s.factor > 0.5) {
+                    share = Math.max(share, last * SHRINK);
+                }
+            }
+            e.setValue(share);
+            sum += share;
+        }
+        for (Map.Entry<Long, Double> e : fresh.entrySet()) {
+            e.setValue(e.getValue() / sum);
+        }
+        budget(now, fresh, z);
+        table.planned.clear();
+        table.planned.putAll(fresh);
+        table.past.add(new HashMap<>(fresh));
+        if (table.past.size() > 3) {
+            table.past.poll();
+        }
+    }
+
+    /**
+     * Cold servers get no more requests than a part of what rule 4 allows at their present capacity, taken
+     * from what a server usually gets. Matters when most of the fleet is cold: then even a tenth of the
+     * average weight is much. Could starve cold servers when the usual load is very low, where it costs
+     * nothing.
+     */
+    private void budget(long now, Map<Long, Double> shares, int z) {
+        double perS = 0;
+        for (Proxy p : proxies.values()) {
+            for (double r : p.perS) {
+                perS += r;
+            }
+        }
+        int warm = 0;
+        for (long id : shares.keySet()) {
+            if (coldShare(servers.get(id), now, COLD_FIRST) >= 1) {
+                warm++;
+            }
+        }
+        if (warm * 2 >= shares.size() && warm > 0) {
+            double each = perS / shares.size();
+            usualPerServer = usualPerServer == 0 ? each : usualPerServer * 0.9 + each * 0.1;
+        }
+        if (perS <= 0 || usualPerServer <= 0 || warm == 0) {
+            return;
+        }
+        double cut = 0;
+        double kept = 0;
+        for (Map.Entry<Long, Double> e : shares.entrySet()) {
+            Server s = servers.get(e.getKey());
+            double most = COLD_BUDGET * set.limits().fallMultiple() * usualPerServer / perS
+                    * coldShare(s, now, set.limits().coldFrom());
+            if (coldShare(s, now, COLD_FIRST) < 1 && e.getValue() > most) {
+                cut += e.getValue() - most;
+                e.setValue(most);
+            } else if (coldShare(s, now, COLD_FIRST) >= 1) {
+                kept += e.getValue();
+            }
+        }
+        for (Map.Entry<Long, Double> e : shares.entrySet()) {
+            if (coldShare(servers.get(e.getKey()), now, COLD_FIRST) >= 1) {
+                e.setValue(e.getValue() * (1 + cut / kept));
+            }
+        }
+    }
+
+    /** Under overload the classes of least worth are let in less, one after the other. */
+    private void levels() {
+        int n = level.length;
+        double[] perS = new double[n];
+        double all = 0;
+        for (Proxy p : proxies.values()) {
+            for (int k = 0; k < n; k++) {
+                perS[k] += p.perS[k];
+                all += p.perS[k];
+            }
+        }
+        List<Integer> order = new ArrayList<>();
+        for (int k = 0; k < n; k++) {
+            order.add(k);
+        }
+        order.sort((a, b) -> Double.compare(set.grades().get(a).worth(), set.grades().get(b).worth()));
+        double shed = (1 - let) * all;
+        for (int k : order) {
+            double cut = Math.min(shed, (1 - CLASS_LEAST) * perS[k]);
+            shed -= cut;
+            double share = perS[k] <= 0 ? 1 : 1 - cut / perS[k];
+            level[k] = set.levels() == Levels.RATE ? share >= 1 ? NO_LIMIT : rate(k, share * perS[k]) : share;
+        }
+    }
+
+    /** The rate at each proxy that lets in so many requests of a class in all. */
+    private double rate(int grade, double total) {
+        List<Double> each = new ArrayList<>();
+        for (Proxy p : proxies.values()) {
+            each.add(p.perS[grade]);
+        }
+        each.sort(null);
+        double left = total;
+        for (int i = 0; i < each.size(); i++) {
+            double even = left / (each.size() - i);
+            if (each.get(i) >= even) {
+                return even;
+            }
+            left -= each.get(i);
+        }
+        return NO_LIMIT;
+    }
+
+    /** How often proxies try again: after any failure only where a repeat is safe and there is room. */
+    private int retry(Grade g) {
+        boolean free = g.effect() == Effect.SAFE
+                || g.effect() == Effect.KEYED && g.groupAll() && g.windowUs() >= g.deadlineUs();
+        return free && !over ? 2 : 1;
+    }
+
+    // The channel.
+
+    /** All orders go out here, withdrawals first; each line is counted before it is given to the channel. */
+    private void send(long now) {
+        Channel c = set.channel();
+        waiting = Math.max(0, waiting - (now - waitingUs) / 1e6 * c.linesPerS() * pace);
+        waitingUs = now;
+        if (proxies.isEmpty()) {
+            withdrawals.forEach(id -> to.withdraw(id, servers.get(id).out));
+            withdrawals.clear();
+        }
+        Map<Integer, Double> lines = new TreeMap<>();
+        for (long id : withdrawals) {
+            to.withdraw(id, servers.get(id).out);
+            proxies.keySet().forEach(p -> lines.merge(p, 1.0, Double::sum));
+        }
+        withdrawals.clear();
+        double room = c.backlog() * QUEUE_CALM - waiting - count(lines);
+        for (int k = 0; k < level.length; k++) {
+            double value = set.levels() == Levels.NONE ? 1 : level[k];
+            int retry = retry(set.grades().get(k));
+            boolean moved = Math.abs(value - levelSent[k]) > DEAD_BAND * Math.min(value, levelSent[k])
+                    || value != levelSent[k] && (value == 1 || value == NO_LIMIT);
+            double cost = proxies.size() * (c.head() + 2);
+            if ((moved || retry != retrySent[k]) && cost <= room) {
+                to.admit(ALL_TABLES, 1 << k, value, retry);
+                levelSent[k] = value;
+                retrySent[k] = retry;
+                proxies.keySet().forEach(p -> lines.merge(p, 1.0, Double::sum));
+                room -= cost;
+            }
+        }
+        for (int z = 0; z < tables.length; z++) {
+            room = lines(z, lines, room);
+        }
+        for (Map.Entry<Integer, Proxy> e : proxies.entrySet()) {
+            Proxy p = e.getValue();
+            Table table = tables[p.zone];
+            double cost = 1 + table.sent.size() + 2 * level.length;
+            if (!p.bound && !table.sent.isEmpty() && cost + c.head() + 1 <= room) {
+                to.bind(e.getKey(), p.zone, 0);
+                p.bound = true;
+                lines.merge(e.getKey(), cost, Double::sum);
+                room -= cost + c.head() + 1;
+            }
+        }
+        if (!lines.isEmpty()) {
+            mark = mark % 65000 + 1;
+            to.mark(mark, false);
+            waiting += count(lines);
+            for (int id : lines.keySet()) {
+                proxies.get(id).unanswered.add(new double[] {mark, waiting});
+            }
+        }
+    }
+
+    private double count(Map<Integer, Double> lines) {
+        double sum = 0;
+        for (double n : lines.values()) {
+            sum += n + set.channel().head() + 1;
+        }
+        return sum;
+    }
+
+    /** The lines of one table that moved by more than the dead band. */
+    private double lines(int z, Map<Integer, Double> lines, double room) {
+        Table table = tables[z];
+        List<Integer> users = new ArrayList<>();
+        proxies.forEach((id, p) -> {
+            if (p.bound && p.zone == z) {
+                users.add(id);
+            }
+        });
+        double left = room - users.size() * (set.channel().head() + 1);
+        LinkedHashSet<Long> ids = new LinkedHashSet<>(table.sent.keySet());
+        ids.addAll(table.planned.keySet());
+        boolean any = false;
+        for (long id : ids) {
+            Server s = servers.get(id);
+            double weight = serving(s) ? table.planned.getOrDefault(id, 0.0) : 0;
+            double last = table.sent.getOrDefault(id, 0.0);
+            if (weight == last || weight > 0 && Math.abs(weight - last) <= DEAD_BAND * last
+                    || left < users.size()) {
+                continue;
+            }
+            any = true;
+            to.line(z, id, weight);
+            left -= users.size();
+            users.forEach(u -> lines.merge(u, 1.0, Double::sum));
+            if (weight > 0) {
+                table.sent.put(id, weight);
+            } else {
+                table.sent.remove(id);
+            }
+        }
+        return any ? left : room;
+    }
+}
