Age all evidence by the clock instead of by each cell's own reports

Cause: lines come late and rarely for servers with little traffic, so failures from a jam outlived it by 10 s and more.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -43,8 +43,8 @@
     /** Power of the share of good answers, relative to the fleet's median, by which an ill server is cut. */
     private static final double ILL_POWER = 4.0;
     /** A server whose mean passes this share of the aim, and the median by LATE_TIMES, is cut likewise. */
-    private static final double LATE_AIMS = 0.5;
-    private static final double LATE_TIMES = 1.5;
+    private static final double LATE_AIMS = 0.6;
+    private static final double LATE_TIMES = 3;
     /** Least factor of an ill server: enough tries to see it well again. */
     private static final double ILL_LEAST = 0.01;
     /** Standard deviations by which answers must be missing before the missing ones count as failures. */
@@ -83,10 +83,14 @@
         double sumUs;
         double bad;
 
-        void decay(double factor) {
-            good *= factor;
-            sumUs *= factor;
-            bad *= factor;
+        /** Ages what is held by a factor and adds what came meanwhile. */
+        void take(double factor, Tally fresh) {
+            good = good * factor + fresh.good;
+            sumUs = sumUs * factor + fresh.sumUs;
+            bad = bad * factor + fresh.bad;
+            fresh.good = 0;
+            fresh.sumUs = 0;
+            fresh.bad = 0;
         }
     }
 
@@ -106,6 +110,7 @@
         double failShare;
         double factor = 1;
         Tally[] cells;
+        Tally[] fresh;
 
         Server(long id, int zones) {
             this.id = id;
@@ -114,8 +119,10 @@
 
         final void forget(int zones) {
             cells = new Tally[zones];
+            fresh = new Tally[zones];
             for (int z = 0; z < zones; z++) {
                 cells[z] = new Tally();
+                fresh[z] = new Tally();
             }
             expected = 0;
             ended = 0;
@@ -332,12 +339,13 @@
         if (s == null || zone >= tables.length || tries <= 0) {
             return;
         }
-        Tally t = s.cells[zone];
-        t.decay(Math.pow(0.5, spanUs / (HALF_PERIODS * set.periodUs())));
+        double old = Math.max(0, spanUs - set.periodUs()) / 2.0;
+        double part = Math.pow(0.5, old / (HALF_PERIODS * set.periodUs()));
+        Tally t = s.fresh[zone];
         long bad = Math.min(failed, tries);
-        t.good += tries - bad;
-        t.sumUs += (double) (tries - bad) * meanUs;
-        t.bad += bad;
+        t.good += part * (tries - bad);
+        t.sumUs += part * (tries - bad) * meanUs;
+        t.bad += part * bad;
         s.heardNow += tries;
         tables[zone].endedNow += tries;
         reports = true;
@@ -426,12 +434,11 @@
         passDue = false;
         to.timer(set.periodUs(), PASS);
         missing();
-        double fade = Math.pow(0.5, periods / FADE_PERIODS);
         for (Server s : servers.values()) {
-            if (s.heardNow == 0 && !s.probeFailed) {
-                for (Tally t : s.cells) {
-                    t.decay(fade);
-                }
+            double half = s.heardNow > 0 ? HALF_PERIODS : FADE_PERIODS;
+            double keep = !reports || s.heardNow == 0 && s.probeFailed ? 1 : Math.pow(0.5, periods / half);
+            for (int z = 0; z < tables.length; z++) {
+                s.cells[z].take(keep, s.fresh[z]);
             }
             s.heardNow = 0;
         }
@@ -468,7 +475,7 @@
             s.ended = s.ended * keep + s.heardNow;
             double gap = s.expected - s.ended;
             if (gap > MISSING_SIGMAS * Math.sqrt(s.expected + 1) && serving(s)) {
-                for (Tally t : s.cells) {
+                for (Tally t : s.fresh) {
                     t.bad += expect / tables.length * gap / s.expected;
                 }
             }
@@ -519,7 +526,7 @@
         for (Server s : servers.values()) {
             double excess = Math.max(0, Math.min(1, s.failShare - fail));
             double late = Math.max(LATE_AIMS * aimUs, LATE_TIMES * mean) / s.meanUs;
-            s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, ILL_POWER) * Math.pow(Math.min(1, late), 2));
+            s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, ILL_POWER) * Math.min(1, late));
             boolean ill = s.factor < 0.3;
             if (ill != s.ill && serving(s) && s.factor < 0.3 | s.factor > 0.6) {
                 s.ill = ill;
