--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -31,8 +31,14 @@
     private static final double POOL_TRIES = 6.0;
     /** A guess at an unloaded answer, as a share of the shortest aim, until the first report. */
     private static final double FIRST_GUESS = 0.3;
-    /** Distance between zones, in aims for each point that a crossing costs. */
-    private static final double CROSS_AIMS = 0.0;
+    /** Most of a zone's requests that stay in it: the rest keeps other zones' figures fresh. */
+    private static final double HOME_MOST = 0.93;
+    /** How the pull of the own zone grows in a calm period, and shrinks when its servers do worse. */
+    private static final double HOME_GROW = 0.08;
+    private static final double HOME_SHRINK = 0.4;
+    /** Own servers do worse when their time, failures counted, passes that of the others so many times. */
+    private static final double HOME_WORSE = 1.3;
+    private static final double HOME_CALM = 1.1;
     /** The design's dead band: a line goes out once its weight moved by a tenth. */
     private static final double DEAD_BAND = 0.1;
     /** Most that a weight may grow or shrink in a period: reports lag, large steps swing. */
@@ -175,6 +181,7 @@
         final Map<Long, Double> sent = new TreeMap<>();
         final ArrayDeque<Map<Long, Double>> past = new ArrayDeque<>();
         double endedNow;
+        double home;
     }
 
     private final Settings set;
@@ -191,9 +198,9 @@
     private boolean watching;
     private boolean watchAsked;
     private boolean reports;
+    private boolean reported;
     private boolean over;
     private double let = 1;
-    private double usualPerServer;
     private long plannedUs;
     private boolean passDue;
     private int mark;
@@ -442,6 +449,7 @@
             }
             s.heardNow = 0;
         }
+        reported = reports;
         reports = false;
         judge(now);
         for (int z = 0; z < tables.length; z++) {
@@ -557,7 +565,6 @@
     /** Zone z's table: weight inverse to d + p, an ill or cold server's cut, all moves bounded. */
     private void weigh(long now, int z) {
         Table table = tables[z];
-        double apart = CROSS_AIMS * set.prices().crossZone() * aimUs;
         double largest = 0;
         double answered = 0;
         double sumUs = 0;
@@ -573,6 +580,8 @@
         double average = tried == 0 ? aimUs : sumUs / tried;
         boolean silent = answered < 1 && !table.planned.isEmpty();
         Map<Long, Double> fresh = new TreeMap<>();
+        Map<Long, Double> times = new TreeMap<>();
+        Map<Long, Double> scales = new TreeMap<>();
         double total = 0;
         for (Server s : servers.values()) {
             if (!serving(s)) {
@@ -584,13 +593,15 @@
                     / (s.good() + PRIOR_TRIES + bad);
             double p = (t.sumUs + t.bad * FAILURE_TIMES * largest + POOL_TRIES * pooled)
                     / (t.good + t.bad + POOL_TRIES);
-            double d = s.zone == z ? 0 : apart;
             double cold = coldShare(s, now, COLD_FIRST);
-            double weight = s.factor / (d + p);
-            if (cold < 1) {
-                weight = s.factor * cold / (d + Math.max(average, p));
-            }
-            fresh.put(s.id, weight);
+            times.put(s.id, cold < 1 ? Math.max(average, p) : p);
+            scales.put(s.id, s.factor * cold);
+        }
+        double d = distance(z, times, scales);
+        for (Map.Entry<Long, Double> e : times.entrySet()) {
+            boolean own = servers.get(e.getKey()).zone == z;
+            double weight = scales.get(e.getKey()) / (e.getValue() + (own ? 0 : d));
+            fresh.put(e.getKey(), weight);
             total += weight;
         }
         double sum = 0;
@@ -610,7 +621,7 @@
         for (Map.Entry<Long, Double> e : fresh.entrySet()) {
             e.setValue(e.getValue() / sum);
         }
-        budget(now, fresh, z);
+        budget(now, fresh);
         table.planned.clear();
         table.planned.putAll(fresh);
         table.past.add(new HashMap<>(fresh));
@@ -620,46 +631,107 @@
     }
 
     /**
-     * Cold servers get no more requests than a part of what rule 4 allows at their present capacity, taken
-     * from what a server usually gets. Matters when most of the fleet is cold: then even a tenth of the
-     * average weight is much. Could starve cold servers when the usual load is very low, where it costs
-     * nothing.
+     * The distance d to other zones' servers, as long as keeps the wanted part of zone z's requests at home:
+     * crossing costs points. The wanted part grows while the own servers do as well as the others and falls
+     * to the even share when they do worse, and never passes what the zone's servers can hold of the whole.
      */
-    private void budget(long now, Map<Long, Double> shares, int z) {
-        double perS = 0;
+    private double distance(long z, Map<Long, Double> times, Map<Long, Double> scales) {
+        Table table = tables[(int) z];
+        double own = 0;
+        double ownSum = 0;
+        double far = 0;
+        double farSum = 0;
+        double least = Double.MAX_VALUE;
+        for (Map.Entry<Long, Double> e : times.entrySet()) {
+            double scale = scales.get(e.getKey());
+            least = Math.min(least, e.getValue());
+            if (servers.get(e.getKey()).zone == z) {
+                own += scale;
+                ownSum += scale * e.getValue();
+            } else {
+                far += scale;
+                farSum += scale * e.getValue();
+            }
+        }
+        if (own <= 0 || far <= 0 || set.prices().crossZone() <= 0) {
+            return 0;
+        }
+        double worse = ownSum / own / (farSum / far);
+        if (worse > HOME_WORSE) {
+            table.home *= HOME_SHRINK;
+        } else if (worse < HOME_CALM && reported) {
+            table.home = Math.min(1, table.home + HOME_GROW);
+        }
+        double all = 0;
+        double here = 0;
         for (Proxy p : proxies.values()) {
             for (double r : p.perS) {
-                perS += r;
+                all += r;
+                here += p.zone == z ? r : 0;
+            }
+        }
+        double even = ownShare(z, times, scales, 0);
+        double holds = here <= 0 ? 1 : even * all / here;
+        double want = even + table.home * (Math.min(HOME_MOST, holds) - even);
+        double low = 0;
+        double high = 1000 * least;
+        for (int i = 0; i < 30 && want > even; i++) {
+            double mid = (low + high) / 2;
+            if (ownShare(z, times, scales, mid) < want) {
+                low = mid;
+            } else {
+                high = mid;
             }
         }
+        return low;
+    }
+
+    private double ownShare(long z, Map<Long, Double> times, Map<Long, Double> scales, double d) {
+        double own = 0;
+        double all = 0;
+        for (Map.Entry<Long, Double> e : times.entrySet()) {
+            boolean home = servers.get(e.getKey()).zone == z;
+            double w = scales.get(e.getKey()) / (e.getValue() + (home ? 0 : d));
+            all += w;
+            own += home ? w : 0;
+        }
+        return all <= 0 ? 0 : own / all;
+    }
+
+    /**
+     * Cold servers get no more requests than a part of what rule 4 allows at their present capacity, which
+     * is taken from what warm servers answer well: in a jam that is at most their capacity, in calm less.
+     * Matters when much of the fleet is cold or proxies avoid the warm ones. Could starve cold servers when
+     * the load is low, where it costs nothing.
+     */
+    private void budget(long now, Map<Long, Double> shares) {
+        double good = 0;
+        double tries = 0;
         int warm = 0;
-        for (long id : shares.keySet()) {
-            if (coldShare(servers.get(id), now, COLD_FIRST) >= 1) {
+        double kept = 0;
+        for (Server s : servers.values()) {
+            tries += s.good() + s.bad();
+            if (serving(s) && coldShare(s, now, 0) >= 1) {
+                good += s.good();
                 warm++;
+                kept += shares.get(s.id);
             }
         }
-        if (warm * 2 >= shares.size() && warm > 0) {
-            double each = perS / shares.size();
-            usualPerServer = usualPerServer == 0 ? each : usualPerServer * 0.9 + each * 0.1;
-        }
-        if (perS <= 0 || usualPerServer <= 0 || warm == 0) {
+        if (warm == 0 || good <= 0) {
             return;
         }
         double cut = 0;
-        double kept = 0;
         for (Map.Entry<Long, Double> e : shares.entrySet()) {
             Server s = servers.get(e.getKey());
-            double most = COLD_BUDGET * set.limits().fallMultiple() * usualPerServer / perS
+            double most = COLD_BUDGET * set.limits().fallMultiple() * good / warm / tries
                     * coldShare(s, now, set.limits().coldFrom());
-            if (coldShare(s, now, COLD_FIRST) < 1 && e.getValue() > most) {
+            if (coldShare(s, now, 0) < 1 && e.getValue() > most) {
                 cut += e.getValue() - most;
                 e.setValue(most);
-            } else if (coldShare(s, now, COLD_FIRST) >= 1) {
-                kept += e.getValue();
             }
         }
         for (Map.Entry<Long, Double> e : shares.entrySet()) {
-            if (coldShare(servers.get(e.getKey()), now, COLD_FIRST) >= 1) {
+            if (coldShare(servers.get(e.getKey()), now, 0) >= 1) {
                 e.setValue(e.getValue() * (1 + cut / kept));
             }
         }
