Keep cold servers out of jams: their budget shrinks with the fleet's good answers

Cause: in a jam proxies avoid most warm servers and crowd onto the newest; a planned 0.75 of the budget arrived as 4 times it.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -34,11 +34,13 @@
     /** Most of a zone's requests that stay in it: the rest keeps other zones' figures fresh. */
     private static final double HOME_MOST = 0.93;
     /** How the pull of the own zone grows in a calm period, and shrinks when its servers do worse. */
-    private static final double HOME_GROW = 0.08;
+    private static final double HOME_GROW = 0.04;
     private static final double HOME_SHRINK = 0.4;
     /** Own servers do worse when their time, failures counted, passes that of the others so many times. */
     private static final double HOME_WORSE = 1.3;
     private static final double HOME_CALM = 1.1;
+    /** The pull grows only while the own servers' mean stays under this share of the aim. */
+    private static final double HOME_AIMS = 0.45;
     /** The design's dead band: a line goes out once its weight moved by a tenth. */
     private static final double DEAD_BAND = 0.1;
     /** Most that a weight may grow or shrink in a period: reports lag, large steps swing. */
@@ -59,6 +61,9 @@
     private static final double COLD_FIRST = 0.1;
     /** Share of rule 4 multiple that a cold server may get, of a usual server's requests. */
     private static final double COLD_BUDGET = 0.4;
+    /** Power of the share of good answers by which that part shrinks: proxies that avoid failing servers
+     * all crowd onto the few they don't know yet. */
+    private static final double COLD_JAM = 2.5;
     /** Share of the backlog kept for what can be put off (design) and for what can't. */
     private static final double QUEUE_CALM = 0.5;
     private static final double QUEUE_MOST = 0.85;
@@ -567,22 +572,19 @@
         Table table = tables[z];
         double largest = 0;
         double answered = 0;
-        double sumUs = 0;
-        double tried = 0;
         for (Server s : servers.values()) {
             if (serving(s)) {
                 largest = Math.max(largest, s.meanUs);
                 answered += s.good();
-                sumUs += s.meanUs * (s.good() + 1);
-                tried += s.good() + 1;
             }
         }
-        double average = tried == 0 ? aimUs : sumUs / tried;
         boolean silent = answered < 1 && !table.planned.isEmpty();
         Map<Long, Double> fresh = new TreeMap<>();
         Map<Long, Double> times = new TreeMap<>();
         Map<Long, Double> scales = new TreeMap<>();
         double total = 0;
+        double speed = 0;
+        int warm = 0;
         for (Server s : servers.values()) {
             if (!serving(s)) {
                 continue;
@@ -594,8 +596,17 @@
             double p = (t.sumUs + t.bad * FAILURE_TIMES * largest + POOL_TRIES * pooled)
                     / (t.good + t.bad + POOL_TRIES);
             double cold = coldShare(s, now, COLD_FIRST);
-            times.put(s.id, cold < 1 ? Math.max(average, p) : p);
+            times.put(s.id, p);
             scales.put(s.id, s.factor * cold);
+            if (cold >= 1) {
+                warm++;
+                speed += s.factor / p;
+            }
+        }
+        for (Map.Entry<Long, Double> e : times.entrySet()) {
+            if (warm > 0 && coldShare(servers.get(e.getKey()), now, COLD_FIRST) < 1) {
+                e.setValue(Math.max(warm / speed, e.getValue()));
+            }
         }
         double d = distance(z, times, scales);
         for (Map.Entry<Long, Double> e : times.entrySet()) {
@@ -659,7 +670,7 @@
         double worse = ownSum / own / (farSum / far);
         if (worse > HOME_WORSE) {
             table.home *= HOME_SHRINK;
-        } else if (worse < HOME_CALM && reported) {
+        } else if (worse < HOME_CALM && reported && ownSum / own < HOME_AIMS * aimUs) {
             table.home = Math.min(1, table.home + HOME_GROW);
         }
         double all = 0;
@@ -723,8 +734,9 @@
         double cut = 0;
         for (Map.Entry<Long, Double> e : shares.entrySet()) {
             Server s = servers.get(e.getKey());
-            double most = COLD_BUDGET * set.limits().fallMultiple() * good / warm / tries
-                    * coldShare(s, now, set.limits().coldFrom());
+            double ready = coldShare(s, now, set.limits().coldFrom());
+            double most = COLD_BUDGET * set.limits().fallMultiple() * ready * good / warm / tries
+                    * Math.pow(Math.min(1, good / tries), COLD_JAM * (1 - ready));
             if (coldShare(s, now, 0) < 1 && e.getValue() > most) {
                 cut += e.getValue() - most;
                 e.setValue(most);
