--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -71,11 +71,13 @@
     private static final double OVER_AIMS = 0.75;
     private static final double OVER_FAILED = 0.15;
     /** Calm again under this share of both. */
-    private static final double CALM_SHARE = 0.6;
-    /** Levels: cut and growth a period, the least total let in, and the least of one class. */
-    private static final double LEVEL_CUT = 0.12;
-    private static final double LEVEL_GROW = 0.05;
-    private static final double LEVEL_LEAST = 0.4;
+    private static final double CALM_SHARE = 0.5;
+    /** Levels: the deepest cut at once, the periods until a cut shows, growth a calm period, least let in. */
+    private static final double LEVEL_CUT = 0.6;
+    private static final double LEVEL_WAIT = 2;
+    private static final double LEVEL_GROW = 1.15;
+    private static final double LEVEL_LEAST = 0.3;
+    /** Least that is let in of one class. */
     private static final double CLASS_LEAST = 0.1;
     /** A rate that limits nobody, requests a second. */
     private static final double NO_LIMIT = 1e6;
@@ -206,6 +208,10 @@
     private boolean reported;
     private boolean over;
     private double let = 1;
+    private double nowGood;
+    private double nowSumUs;
+    private double nowBad;
+    private long cutUs;
     private long plannedUs;
     private boolean passDue;
     private int mark;
@@ -446,16 +452,24 @@
         passDue = false;
         to.timer(set.periodUs(), PASS);
         missing();
+        reported = reports;
+        reports = false;
+        nowGood = 0;
+        nowSumUs = 0;
+        nowBad = 0;
         for (Server s : servers.values()) {
             double half = s.heardNow > 0 ? HALF_PERIODS : FADE_PERIODS;
-            double keep = !reports || s.heardNow == 0 && s.probeFailed ? 1 : Math.pow(0.5, periods / half);
+            double keep = !reported || s.heardNow == 0 && s.probeFailed ? 1 : Math.pow(0.5, periods / half);
             for (int z = 0; z < tables.length; z++) {
+                if (serving(s) && !s.ill) {
+                    nowGood += s.fresh[z].good;
+                    nowSumUs += s.fresh[z].sumUs;
+                    nowBad += s.fresh[z].bad;
+                }
                 s.cells[z].take(keep, s.fresh[z]);
             }
             s.heardNow = 0;
         }
-        reported = reports;
-        reports = false;
         judge(now);
         for (int z = 0; z < tables.length; z++) {
             weigh(now, z);
@@ -546,16 +560,31 @@
                 to.log("server " + Long.toHexString(s.id) + (ill ? " ill" : " well"));
             }
         }
-        boolean calm = mean < CALM_SHARE * OVER_AIMS * aimUs && fail < CALM_SHARE * OVER_FAILED;
-        boolean jammed = mean > OVER_AIMS * aimUs || fail > OVER_FAILED;
-        if (jammed != over && (jammed || calm)) {
-            over = jammed;
-            to.log(over ? "overload: levels lowered" : "overload over");
+        pressure(now);
+    }
+
+    /**
+     * Lowers what is let in while the fleet, ill servers aside, fails or is late, and raises it again as soon
+     * as a period's own reports are good: older evidence would hold levels down long after a jam. Guards
+     * against crowds, lost capacity and repeats that feed a jam. Could refuse needlessly when reports lie.
+     */
+    private void pressure(long now) {
+        if (!reported) {
+            return;
         }
-        if (jammed) {
-            let = Math.max(LEVEL_LEAST, let - LEVEL_CUT);
+        double failed = nowBad / Math.max(1, nowGood + nowBad);
+        double late = nowSumUs / Math.max(1, nowGood) / aimUs;
+        boolean jammed = failed > OVER_FAILED || late > OVER_AIMS;
+        boolean calm = failed < CALM_SHARE * OVER_FAILED && late < CALM_SHARE * OVER_AIMS;
+        if (jammed && now - cutUs >= LEVEL_WAIT * set.periodUs()) {
+            cutUs = now;
+            let = Math.max(LEVEL_LEAST, let * Math.max(LEVEL_CUT, 1 - Math.max(failed, late - OVER_AIMS)));
         } else if (calm) {
-            let = Math.min(1, let + LEVEL_GROW);
+            let = Math.min(1, let * LEVEL_GROW);
+        }
+        if (over != jammed && (jammed || let >= 1)) {
+            over = jammed;
+            to.log(over ? "overload: levels lowered" : "overload over");
         }
     }
 
