Well servers return at once to 0.4 of an even part; old failures are capped

Cause: a struck server stayed at a hundredth for 15 s and more after it was well, so the rest jammed.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -46,6 +46,10 @@
     /** Most that a weight may grow or shrink in a period: reports lag, large steps swing. */
     private static final double GROW = 1.3;
     private static final double SHRINK = 0.6;
+    /** A server that is well again returns to this share of an even part at once, then grows bounded. */
+    private static final double BACK_SHARE = 0.4;
+    /** Failures held against a server, at most: condemned in a few tries, heard again a few periods later. */
+    private static final double BAD_MOST = 10;
     /** The design's count of a failure: so many times the largest average. */
     private static final double FAILURE_TIMES = 2.0;
     /** Power of the share of good answers, relative to the fleet's median, by which an ill server is cut. */
@@ -468,6 +472,12 @@
                 }
                 s.cells[z].take(keep, s.fresh[z]);
             }
+            double most = Math.min(1, BAD_MOST / Math.max(1, s.bad()));
+            for (Tally t : s.cells) {
+                t.bad *= most;
+                t.good *= most;
+                t.sumUs *= most;
+            }
             s.heardNow = 0;
         }
         judge(now);
@@ -650,7 +660,7 @@
             Double last = table.planned.get(e.getKey());
             Server s = servers.get(e.getKey());
             if (last != null && coldShare(s, now, COLD_FIRST) >= 1) {
-                share = silent ? last : Math.min(share, last * GROW);
+                share = silent ? last : Math.min(share, Math.max(last * GROW, BACK_SHARE / fresh.size()));
                 if (s.factor > 0.5) {
                     share = Math.max(share, last * SHRINK);
                 }
