--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -68,6 +68,11 @@
     /** Power of the share of good answers by which that part shrinks: proxies that avoid failing servers
      * all crowd onto the few they don't know yet. */
     private static final double COLD_JAM = 2.5;
+    /** Under this share of good answers, servers readier than the second figure carry all, as long as
+     * they hold the third share of what is ready. */
+    private static final double SHY_GOOD = 0.5;
+    private static final double SHY_READY = 0.75;
+    private static final double SHY_REST = 0.4;
     /** Share of the backlog kept for what can be put off (design) and for what can't. */
     private static final double QUEUE_CALM = 0.5;
     private static final double QUEUE_MOST = 0.85;
@@ -764,9 +769,13 @@
             if (serving(s) && coldShare(s, now, 0) >= 1) {
                 good += s.good();
                 warm++;
-                kept += shares.get(s.id);
+                kept += shares.getOrDefault(s.id, 0.0);
             }
         }
+        double well = tries <= 0 ? 0 : Math.min(1, good / tries);
+        if (well < SHY_GOOD) {
+            shy(now, shares);
+        }
         if (warm == 0 || good <= 0) {
             return;
         }
@@ -775,7 +784,7 @@
             Server s = servers.get(e.getKey());
             double ready = coldShare(s, now, set.limits().coldFrom());
             double most = COLD_BUDGET * set.limits().fallMultiple() * ready * good / warm / tries
-                    * Math.pow(Math.min(1, good / tries), COLD_JAM * (1 - ready));
+                    * Math.pow(well, COLD_JAM * (1 - ready));
             if (coldShare(s, now, 0) < 1 && e.getValue() > most) {
                 cut += e.getValue() - most;
                 e.setValue(most);
@@ -788,6 +797,25 @@
         }
     }
 
+    /**
+     * While most tries fail, or nothing was heard yet after a start, the coldest servers are left out of the
+     * tables as long as the others hold most of the fleet's ready part: proxies that avoid every failing
+     * server would else bring the cold one all. It costs what the cold ones could have done meanwhile.
+     */
+    private void shy(long now, Map<Long, Double> shares) {
+        double all = 0;
+        double rest = 0;
+        for (long id : shares.keySet()) {
+            double ready = coldShare(servers.get(id), now, set.limits().coldFrom());
+            all += ready;
+            rest += ready >= SHY_READY ? ready : 0;
+        }
+        if (rest >= SHY_REST * all) {
+            double from = set.limits().coldFrom();
+            shares.keySet().removeIf(id -> coldShare(servers.get(id), now, from) < SHY_READY);
+        }
+    }
+
     /** Under overload the classes of least worth are let in less, one after the other. */
     private void levels() {
         int n = level.length;
@@ -831,11 +859,12 @@
         return NO_LIMIT;
     }
 
-    /** How often proxies try again: after any failure only where a repeat is safe and there is room. */
-    private int retry(Grade g) {
-        boolean free = g.effect() == Effect.SAFE
-                || g.effect() == Effect.KEYED && g.groupAll() && g.windowUs() >= g.deadlineUs();
-        return free && over && false ? 2 : 1;
+    /**
+     * Proxies try again after proof that the first try never ran, which is safe for every class. In a jam
+     * they don't: repeats of what full servers turn away feed it and crowd onto the coldest servers.
+     */
+    private int retry() {
+        return over ? 0 : 1;
     }
 
     // The channel.
@@ -858,7 +887,7 @@
         double room = c.backlog() * QUEUE_CALM - waiting - count(lines);
         for (int k = 0; k < level.length; k++) {
             double value = set.levels() == Levels.NONE ? 1 : level[k];
-            int retry = retry(set.grades().get(k));
+            int retry = retry();
             boolean moved = Math.abs(value - levelSent[k]) > DEAD_BAND * Math.min(value, levelSent[k])
                     || value != levelSent[k] && (value == 1 || value == NO_LIMIT);
             double cost = proxies.size() * (c.head() + 2);
