--- a/src/main/java/pearusher/Assigner.java
+++ b/src/main/java/pearusher/Assigner.java
@@ -94,7 +94,8 @@
 
     void probed(long now, long server, Probe end, long tookUs, float[] load);
 
-    void told(long now, int peer, byte[] body);
+    /** A word from another assigner; who needs no agreement leaves it. */
+    default void told(long now, int peer, byte[] body) { }
 
     void joined(long now, int proxy, int zone, double perS, boolean onlyStanding);
 
@@ -109,11 +110,12 @@
     /** Requests of a class that came to a proxy in a span; {@code failed}: let in, not answered. */
     void usage(long now, int proxy, int grade, long requests, long failed, long spanUs);
 
-    void sliceGiven(long now, int slice, boolean given);
+    /** Slices, where the settings count any: given or taken, a line of one's table, what came for it. */
+    default void sliceGiven(long now, int slice, boolean given) { }
 
-    void sliceLine(long now, int slice, long server, double weight);
+    default void sliceLine(long now, int slice, long server, double weight) { }
 
-    void sliceUsage(long now, int slice, int grade, long requests, long failed, long spanUs);
+    default void sliceUsage(long now, int slice, int grade, long requests, long failed, long spanUs) { }
 
     /** The end of what happened at this instant. */
     void close(long now);
--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Every decision of pearusher. Its settings, events and orders are in Assigner.java beside it.
@@ -96,6 +97,12 @@
     private static final double EARLY = 0.8;
     private static final double LATEST = 1.3;
 
+    /** After a start, passes with reports, and periods at most, until proxies that hold tables are bound. */
+    private static final int SETTLE_PASSES = 2;
+    private static final double SETTLE_MOST = 3;
+    /** From this part of requests tried on, levels held from before count as full. */
+    private static final double SETTLE_FULL = 0.85;
+
     private static final long PASS = 1;
     private static final long WATCH = 2;
 
@@ -152,41 +159,34 @@
             factor = 1;
         }
 
-        double good() {
+        /** All zones' evidence as one: how many good answers, failures, or microseconds. */
+        double sum(ToDoubleFunction<Tally> of) {
             double n = 0;
             for (Tally t : cells) {
-                n += t.good;
+                n += of.applyAsDouble(t);
             }
             return n;
         }
 
-        double sumUs() {
-            double n = 0;
-            for (Tally t : cells) {
-                n += t.sumUs;
-            }
-            return n;
+        double good() {
+            return sum(t -> t.good);
         }
 
         double bad() {
-            double n = 0;
-            for (Tally t : cells) {
-                n += t.bad;
-            }
-            return n;
+            return sum(t -> t.bad);
         }
     }
 
     private static final class Proxy {
         final int zone;
-        final long joinedUs;
+        final boolean holds;
         boolean bound;
         double[] perS;
         final ArrayDeque<double[]> unanswered = new ArrayDeque<>();
 
-        Proxy(int zone, long joinedUs, int grades) {
+        Proxy(int zone, boolean holds, int grades) {
             this.zone = zone;
-            this.joinedUs = joinedUs;
+            this.holds = holds;
             perS = new double[grades];
         }
     }
@@ -216,6 +216,11 @@
     private boolean reports;
     private boolean reported;
     private boolean over;
+    private boolean settled;
+    private long startUs;
+    private int heardPasses;
+    private double asked;
+    private double tried;
     private double let = 1;
     private double nowGood;
     private double nowSumUs;
@@ -318,9 +323,12 @@
 
     @Override
     public void joined(long now, int proxy, int zone, double perS, boolean onlyStanding) {
-        Proxy p = new Proxy(Math.min(zone, tables.length - 1), now, level.length);
+        Proxy p = new Proxy(Math.min(zone, tables.length - 1), !onlyStanding, level.length);
         Arrays.fill(p.perS, Math.max(0, perS) / Math.max(1, level.length));
         proxies.put(proxy, p);
+        if (p.holds && !settled) {
+            servers.values().stream().filter(s -> s.out).forEach(s -> withdrawals.add(s.id));
+        }
     }
 
     @Override
@@ -374,6 +382,7 @@
         t.sumUs += part * (tries - bad) * meanUs;
         t.bad += part * bad;
         s.heardNow += tries;
+        tried += settled ? 0 : tries;
         tables[zone].endedNow += tries;
         reports = true;
     }
@@ -385,6 +394,7 @@
             return;
         }
         double keep = Math.pow(0.5, spanUs / (HALF_PERIODS * set.periodUs()));
+        asked += settled ? 0 : requests;
         p.perS[grade] = keep * p.perS[grade] + (1 - keep) * requests * 1e6 / spanUs;
     }
 
@@ -396,26 +406,6 @@
         }
     }
 
-    @Override
-    public void told(long now, int peer, byte[] body) {
-        // Assigners agree on nothing: each keeps every rule alone.
-    }
-
-    @Override
-    public void sliceGiven(long now, int slice, boolean given) {
-        // Slices are not served; the start said so.
-    }
-
-    @Override
-    public void sliceLine(long now, int slice, long server, double weight) {
-        // Slices are not served.
-    }
-
-    @Override
-    public void sliceUsage(long now, int slice, int grade, long requests, long failed, long spanUs) {
-        // Slices are not served.
-    }
-
     @Override
     public void timer(long now, long token) {
         if (token == PASS) {
@@ -434,6 +424,7 @@
             started = true;
             waitingUs = now;
             plannedUs = now;
+            startUs = now;
             if (set.listOnRequest()) {
                 to.watch(true);
             } else {
@@ -485,6 +476,7 @@
             }
             s.heardNow = 0;
         }
+        settle(now);
         judge(now);
         for (int z = 0; z < tables.length; z++) {
             weigh(now, z);
@@ -497,6 +489,29 @@
         }
     }
 
+    /**
+     * Starting over: proxies that hold an earlier stream's tables keep them until this instance has heard of
+     * the fleet, and the levels they hold are read off what was tried of what came. Guards against a flood
+     * after a crash in a jam. Could leave a proxy on an outdated table for some periods; withdrawals reach
+     * it all the same.
+     */
+    private void settle(long now) {
+        heardPasses += reported ? 1 : 0;
+        boolean old = false;
+        for (Proxy p : proxies.values()) {
+            old |= p.holds;
+        }
+        if (settled || old && heardPasses < SETTLE_PASSES && now - startUs < SETTLE_MOST * set.periodUs()) {
+            return;
+        }
+        settled = heardPasses > 0;
+        if (old && asked > 0) {
+            let = Math.max(LEVEL_LEAST, Math.min(1, tried / asked));
+            over = let < SETTLE_FULL;
+            let = over ? let : 1;
+        }
+    }
+
     /**
      * Missing answers count as failures. Guards against servers that take requests and answer none, whose
      * figures else linger; also catches cut links and stalls. Could harm a server whose share has just been
@@ -546,7 +561,7 @@
         for (Server s : servers.values()) {
             if (serving(s)) {
                 good += s.good();
-                sum += s.sumUs();
+                sum += s.sum(t -> t.sumUs);
                 sizes += s.listed;
                 n++;
             }
@@ -556,7 +571,7 @@
         List<Double> fails = new ArrayList<>();
         for (Server s : servers.values()) {
             double size = n == 0 ? 1 : s.listed * n / sizes;
-            s.meanUs = (s.sumUs() + PRIOR_TRIES * average / size) / (s.good() + PRIOR_TRIES);
+            s.meanUs = (s.sum(t -> t.sumUs) + PRIOR_TRIES * average / size) / (s.good() + PRIOR_TRIES);
             s.failShare = s.bad() / (s.good() + s.bad() + PRIOR_TRIES);
             if (serving(s)) {
                 means.add(s.meanUs);
@@ -906,7 +921,7 @@
             Proxy p = e.getValue();
             Table table = tables[p.zone];
             double cost = 1 + table.sent.size() + 2 * level.length;
-            if (!p.bound && !table.sent.isEmpty() && cost + c.head() + 1 <= room) {
+            if (!p.bound && (settled || !p.holds) && !table.sent.isEmpty() && cost + c.head() + 1 <= room) {
                 to.bind(e.getKey(), p.zone, 0);
                 p.bound = true;
                 lines.merge(e.getKey(), cost, Double::sum);
