--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -68,10 +68,10 @@
     private static final double COLD_BUDGET = 0.4;
     /** Power of the share of good answers by which that part shrinks: proxies that avoid failing servers
      * all crowd onto the few they don't know yet. */
-    private static final double COLD_JAM = 2.5;
+    private static final double COLD_JAM = 1.0;
     /** Under this share of good answers, servers readier than the second figure carry all, as long as
      * they hold the third share of what is ready. */
-    private static final double SHY_GOOD = 0.5;
+    private static final double SHY_GOOD = 0.3;
     private static final double SHY_READY = 0.75;
     private static final double SHY_REST = 0.4;
     /** Share of the backlog kept for what can be put off (design) and for what can't. */
