--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -68,10 +68,10 @@
     private static final double COLD_BUDGET = 0.4;
     /** Power of the share of good answers by which that part shrinks: proxies that avoid failing servers
      * all crowd onto the few they don't know yet. */
-    private static final double COLD_JAM = 1.0;
+    private static final double COLD_JAM = 2.0;
     /** Under this share of good answers, servers readier than the second figure carry all, as long as
      * they hold the third share of what is ready. */
-    private static final double SHY_GOOD = 0.3;
+    private static final double SHY_GOOD = 0.45;
     private static final double SHY_READY = 0.75;
     private static final double SHY_REST = 0.4;
     /** Share of the backlog kept for what can be put off (design) and for what can't. */
@@ -129,6 +129,7 @@
         double listed = 1;
         State state = State.READY;
         long startedUs;
+        long listedUs;
         boolean out;
         boolean probeFailed;
         boolean ill;
@@ -286,9 +287,11 @@
                     continue;
                 }
                 s = new Server(e.server(), tables.length);
+                s.listedUs = now;
                 servers.put(s.id, s);
             } else if (e.startedUs() != s.startedUs && e.state() == State.READY) {
                 s.forget(tables.length);
+                s.listedUs = now;
             }
             s.zone = Math.min(e.zone(), tables.length - 1);
             s.listed = e.weight() > 0 ? e.weight() : 1;
@@ -622,8 +625,10 @@
         if (s.startedUs == 0) {
             return 1;
         }
-        double age = Math.max(0, now - s.startedUs) / (double) Math.max(1, set.limits().rampUs());
-        return Math.min(1, first + (1 - first) * age);
+        double ramp = Math.max(1, set.limits().rampUs());
+        double age = Math.max(0, now - s.startedUs) / ramp;
+        double climbed = first == COLD_FIRST ? Math.min(age, (now - s.listedUs) / ramp) : age;
+        return age >= 1 ? 1 : Math.min(1, first + (1 - first) * climbed);
     }
 
     /** Zone z's table: weight inverse to d + p, an ill or cold server's cut, all moves bounded. */
@@ -799,7 +804,7 @@
             Server s = servers.get(e.getKey());
             double ready = coldShare(s, now, set.limits().coldFrom());
             double most = COLD_BUDGET * set.limits().fallMultiple() * ready * good / warm / tries
-                    * Math.pow(well, COLD_JAM * (1 - ready));
+                    * Math.pow(well, COLD_JAM);
             if (coldShare(s, now, 0) < 1 && e.getValue() > most) {
                 cut += e.getValue() - most;
                 e.setValue(most);
