Only the readiest servers are listed while many tries fail

Cause: in a jam proxies avoid every failing server, so a cold one gets six times its weight whatever the weight is; only leaving it out helps.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -69,10 +70,8 @@
     /** Power of the share of good answers by which that part shrinks: proxies that avoid failing servers
      * all crowd onto the few they don't know yet. */
     private static final double COLD_JAM = 2.0;
-    /** Under this share of good answers, servers readier than the second figure carry all, as long as
-     * they hold the third share of what is ready. */
-    private static final double SHY_GOOD = 0.45;
-    private static final double SHY_READY = 0.75;
+    /** Under this share of good answers the readiest servers that hold the second share of all carry all. */
+    private static final double SHY_GOOD = 0.7;
     private static final double SHY_REST = 0.4;
     /** Share of the backlog kept for what can be put off (design) and for what can't. */
     private static final double QUEUE_CALM = 0.5;
@@ -793,7 +792,7 @@
             }
         }
         double well = tries <= 0 ? 0 : Math.min(1, good / tries);
-        if (well < SHY_GOOD) {
+        if (nowGood + nowBad <= 0 || nowGood < SHY_GOOD * (nowGood + nowBad) || well < SHY_GOOD) {
             shy(now, shares);
         }
         if (warm == 0 || good <= 0) {
@@ -823,16 +822,20 @@
      * server would else bring the cold one all. It costs what the cold ones could have done meanwhile.
      */
     private void shy(long now, Map<Long, Double> shares) {
+        Map<Long, Double> ready = new TreeMap<>();
         double all = 0;
-        double rest = 0;
         for (long id : shares.keySet()) {
-            double ready = coldShare(servers.get(id), now, set.limits().coldFrom());
-            all += ready;
-            rest += ready >= SHY_READY ? ready : 0;
+            ready.put(id, coldShare(servers.get(id), now, set.limits().coldFrom()));
+            all += ready.get(id);
         }
-        if (rest >= SHY_REST * all) {
-            double from = set.limits().coldFrom();
-            shares.keySet().removeIf(id -> coldShare(servers.get(id), now, from) < SHY_READY);
+        List<Long> order = new ArrayList<>(ready.keySet());
+        order.sort(Comparator.comparing(ready::get).reversed());
+        double held = 0;
+        for (long id : order) {
+            if (ready.get(id) < 1 && held >= SHY_REST * all) {
+                shares.remove(id);
+            }
+            held += ready.get(id);
         }
     }
 
