--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -71,8 +71,8 @@
      * all crowd onto the few they don't know yet. */
     private static final double COLD_JAM = 2.0;
     /** Under this share of good answers the readiest servers that hold the second share of all carry all. */
-    private static final double SHY_GOOD = 0.7;
-    private static final double SHY_REST = 0.4;
+    private static final double SHY_GOOD = 0.85;
+    private static final double SHY_REST = 0.3;
     /** Share of the backlog kept for what can be put off (design) and for what can't. */
     private static final double QUEUE_CALM = 0.5;
     private static final double QUEUE_MOST = 0.85;
