--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -71,7 +71,9 @@
      * all crowd onto the few they don't know yet. */
     private static final double COLD_JAM = 2.0;
     /** Under this share of good answers the readiest servers that hold the second share of all carry all. */
-    private static final double SHY_GOOD = 0.85;
+    private static final double SHY_GOOD = 0.65;
+    /** Under this share no cold server is listed that was not before. */
+    private static final double SHY_NEW = 0.85;
     private static final double SHY_REST = 0.3;
     /** Share of the backlog kept for what can be put off (design) and for what can't. */
     private static final double QUEUE_CALM = 0.5;
@@ -695,7 +697,7 @@
         for (Map.Entry<Long, Double> e : fresh.entrySet()) {
             e.setValue(e.getValue() / sum);
         }
-        budget(now, fresh);
+        budget(now, fresh, table);
         table.planned.clear();
         table.planned.putAll(fresh);
         table.past.add(new HashMap<>(fresh));
@@ -778,22 +780,22 @@
      * Matters when much of the fleet is cold or proxies avoid the warm ones. Could starve cold servers when
      * the load is low, where it costs nothing.
      */
-    private void budget(long now, Map<Long, Double> shares) {
+    private void budget(long now, Map<Long, Double> shares, Table table) {
         double good = 0;
         double tries = 0;
         int warm = 0;
         double kept = 0;
         for (Server s : servers.values()) {
-            tries += s.good() + s.bad();
+            tries += serving(s) ? s.good() + s.bad() : 0;
             if (serving(s) && coldShare(s, now, 0) >= 1) {
                 good += s.good();
                 warm++;
                 kept += shares.getOrDefault(s.id, 0.0);
             }
         }
-        double well = tries <= 0 ? 0 : Math.min(1, good / tries);
-        if (nowGood + nowBad <= 0 || nowGood < SHY_GOOD * (nowGood + nowBad) || well < SHY_GOOD) {
-            shy(now, shares);
+        double well = nowGood + nowBad <= 0 ? 0 : nowGood / (nowGood + nowBad);
+        if (well < SHY_NEW) {
+            shy(now, shares, well < SHY_GOOD ? Map.of() : table.sent);
         }
         if (warm == 0 || good <= 0) {
             return;
@@ -821,7 +823,7 @@
      * tables as long as the others hold most of the fleet's ready part: proxies that avoid every failing
      * server would else bring the cold one all. It costs what the cold ones could have done meanwhile.
      */
-    private void shy(long now, Map<Long, Double> shares) {
+    private void shy(long now, Map<Long, Double> shares, Map<Long, Double> stay) {
         Map<Long, Double> ready = new TreeMap<>();
         double all = 0;
         for (long id : shares.keySet()) {
@@ -832,7 +834,7 @@
         order.sort(Comparator.comparing(ready::get).reversed());
         double held = 0;
         for (long id : order) {
-            if (ready.get(id) < 1 && held >= SHY_REST * all) {
+            if (ready.get(id) < 1 && held >= SHY_REST * all && !stay.containsKey(id)) {
                 shares.remove(id);
             }
             held += ready.get(id);
