--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -436,6 +436,11 @@
             }
             plan(now);
         }
+        // Never bare: when the last listed server has left, or the first came, no period is waited for.
+        if (tables[0].planned.keySet().stream().noneMatch(id -> serving(servers.get(id)))
+                && servers.values().stream().anyMatch(this::serving)) {
+            plan(now);
+        }
         long since = now - plannedUs;
         if (passDue || reports && since >= EARLY * set.periodUs()) {
             if (reports || since >= LATEST * set.periodUs()) {
--- /dev/null
+++ b/src/test/java/pearusher/Fleet.java
@@ -0,0 +1,153 @@
+package pearusher;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Settings for tests, and a sink that keeps what was ordered and counts the channel's lines itself. */
+final class Fleet implements Assigner.Orders {
+    static final long S = 1_000_000;
+    static final float[] NO_LOAD = new float[0];
+
+    final List<String> orders = new ArrayList<>();
+    final List<String> logs = new ArrayList<>();
+    final Map<Integer, Map<Long, Double>> tables = new TreeMap<>();
+    final Map<Integer, Integer> bound = new TreeMap<>();
+    final Set<Long> withdrawn = new HashSet<>();
+    final Map<Integer, Integer> retries = new HashMap<>();
+    final Map<Integer, Double> levels = new HashMap<>();
+    final Map<Long, Long> timers = new TreeMap<>();
+    final Set<Integer> joined = new HashSet<>();
+    int linesThisReply;
+    int marks;
+
+    static Assigner.Grade grade(Assigner.Effect effect, double worth) {
+        boolean writes = effect == Assigner.Effect.UNSAFE;
+        return new Assigner.Grade(S, 3 * S, worth, 0.2, effect, false, 5 * S, writes, false);
+    }
+
+    static Assigner.Settings settings(Assigner.Levels levels, List<Assigner.Grade> grades, int zones,
+            double crossZone, int slices) {
+        return new Assigner.Settings(7, zones, grades, 8, 0, 1, 0,
+                new Assigner.Channel(3000, 10, 4500, 0, 10 * S, 200_000, 500_000),
+                new Assigner.Limits(3 * S, 2 * S, 0.2, 10 * S, 3, 2 * S, 10 * S, false),
+                new Assigner.Prices(crossZone, 0.02, 0.04, 0.05, 0.05), levels, 1, 1.2, S, 150, 3, slices,
+                true, true, true, Assigner.ReportFrom.PROBES, List.of(Assigner.Field.UTIL), false, 5000);
+    }
+
+    static Assigner.Settings settings() {
+        return settings(Assigner.Levels.SHARE, List.of(grade(Assigner.Effect.SAFE, 1),
+                grade(Assigner.Effect.UNSAFE, 3)), 2, 0, 0);
+    }
+
+    static Assigner.Entry ready(long id, int zone, long startedUs) {
+        return new Assigner.Entry(id, zone, 0, 0, Assigner.State.READY, 1, startedUs);
+    }
+
+    static Assigner.Entry state(long id, int zone, Assigner.State state) {
+        return new Assigner.Entry(id, zone, 0, 0, state, 1, 0);
+    }
+
+    /** Servers 1 to n, long started, alternating over the zones. */
+    static List<Assigner.Entry> servers(int n, int zones) {
+        List<Assigner.Entry> out = new ArrayList<>();
+        for (int i = 1; i <= n; i++) {
+            out.add(ready(i, i % zones, 0));
+        }
+        return out;
+    }
+
+    double share(int table, long server) {
+        double sum = 0;
+        for (double w : tables.get(table).values()) {
+            sum += w;
+        }
+        return tables.get(table).getOrDefault(server, 0.0) / sum;
+    }
+
+    @Override
+    public void line(int table, long server, double weight) {
+        orders.add("line " + table + " " + server + " " + weight);
+        Map<Long, Double> lines = tables.computeIfAbsent(table, t -> new TreeMap<>());
+        if (weight > 0) {
+            lines.put(server, weight);
+        } else {
+            lines.remove(server);
+        }
+        linesThisReply += (int) bound.values().stream().filter(t -> t == table).count();
+    }
+
+    @Override
+    public void clear(int table) {
+        orders.add("clear " + table);
+        tables.remove(table);
+    }
+
+    @Override
+    public void withdraw(long server, boolean out) {
+        orders.add("withdraw " + server + " " + out);
+        if (out) {
+            withdrawn.add(server);
+        } else {
+            withdrawn.remove(server);
+        }
+        linesThisReply += joined.size();
+    }
+
+    @Override
+    public void bind(int proxy, int table, int classBits) {
+        orders.add("bind " + proxy + " " + table + " " + classBits);
+        bound.put(proxy, table);
+        linesThisReply += 1 + tables.getOrDefault(table, Map.of()).size();
+    }
+
+    @Override
+    public void admit(int table, int classBits, double level, int retry) {
+        orders.add("admit " + table + " " + classBits + " " + level + " " + retry);
+        retries.put(classBits, retry);
+        levels.put(classBits, level);
+        linesThisReply += joined.size();
+    }
+
+    @Override
+    public void mark(int number, boolean toAll) {
+        orders.add("mark " + number);
+        marks = number;
+    }
+
+    @Override
+    public void watch(boolean on) {
+        orders.add("watch " + on);
+    }
+
+    @Override
+    public void fetch() {
+        orders.add("fetch");
+    }
+
+    @Override
+    public void probe(long server) {
+        orders.add("probe " + server);
+    }
+
+    @Override
+    public void timer(long delayUs, long token) {
+        orders.add("timer " + delayUs + " " + token);
+        timers.put(token, delayUs);
+    }
+
+    @Override
+    public void tell(long peer, byte[] body) {
+        orders.add("tell");
+    }
+
+    @Override
+    public void log(String text) {
+        orders.add("log " + text);
+        logs.add(text);
+    }
+}
--- /dev/null
+++ b/src/test/java/pearusher/RulesTest.java
@@ -0,0 +1,447 @@
+package pearusher;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class RulesTest {
+
+    private static Play play(int servers, int proxies) {
+        return new Play(Fleet.settings()).start(Fleet.servers(servers, 2), proxies);
+    }
+
+    private static double sum(Play p, int table) {
+        return p.fleet.tables.get(table).values().stream().mapToDouble(w -> w).sum();
+    }
+
+    @Test
+    void freshTablesListAllServersEvenlyAndSumToOne() {
+        Play p = play(8, 4);
+        for (int z = 0; z < 2; z++) {
+            assertEquals(8, p.fleet.tables.get(z).size());
+            assertEquals(1, sum(p, z), 1e-6);
+            assertEquals(1 / 8.0, p.fleet.share(z, 3), 1e-9);
+        }
+        assertEquals(4, p.fleet.bound.size());
+    }
+
+    @Test
+    void freshTablesFollowListedWeights() {
+        Play p = new Play(Fleet.settings());
+        p.start(List.of(new Assigner.Entry(1, 0, 0, 0, Assigner.State.READY, 2, 0),
+                new Assigner.Entry(2, 0, 0, 0, Assigner.State.READY, 1, 0)), 2);
+        assertTrue(p.fleet.share(0, 1) > 1.5 * p.fleet.share(0, 2));
+    }
+
+    @Test
+    void weightsAreInverseToTime() {
+        Play p = play(8, 4);
+        p.triesPerZone = 2000;
+        p.meanMs.put(1L, 100.0);
+        p.meanMs.put(2L, 400.0);
+        p.periods(20);
+        for (int z = 0; z < 2; z++) {
+            assertEquals(2, p.fleet.share(z, 1) / p.fleet.share(z, 3), 0.25);
+            assertEquals(0.5, p.fleet.share(z, 2) / p.fleet.share(z, 3), 0.1);
+            assertEquals(1, sum(p, z), 0.1);
+        }
+    }
+
+    @Test
+    void linesInsideTheDeadBandStayAndAWeightMovesBoundedInOnePeriod() {
+        Play p = play(8, 4);
+        p.periods(6);
+        int before = p.fleet.orders.size();
+        p.meanMs.put(1L, 204.0);
+        p.periods(3);
+        assertTrue(p.fleet.orders.subList(before, p.fleet.orders.size()).stream()
+                .noneMatch(o -> o.startsWith("line")));
+        p.meanMs.put(1L, 20.0);
+        double last = p.fleet.share(0, 1);
+        p.period();
+        assertTrue(p.fleet.share(0, 1) < 1.6 * last);
+        assertTrue(p.fleet.share(0, 1) > last);
+    }
+
+    @Test
+    void aServerThatFailsFastIsCutAndComesBackWhenWell() {
+        Play p = play(8, 4);
+        p.periods(5);
+        p.meanMs.put(1L, 50.0);
+        p.fails.put(1L, 0.7);
+        p.periods(6);
+        assertTrue(p.fleet.share(0, 1) < 0.02, "a fast failing server keeps " + p.fleet.share(0, 1));
+        assertTrue(p.fleet.tables.get(0).containsKey(1L), "it stays listed");
+        assertTrue(p.fleet.logs.contains("server 1 ill"));
+        p.fails.remove(1L);
+        p.meanMs.put(1L, 200.0);
+        p.triesPerZone = 400;
+        p.periods(20);
+        assertTrue(p.fleet.share(0, 1) > 0.08, "back at " + p.fleet.share(0, 1));
+        assertTrue(p.fleet.logs.contains("server 1 well"));
+    }
+
+    @Test
+    void whenAllFailAlikeNobodyIsCut() {
+        Play p = play(8, 4);
+        for (long id = 1; id <= 8; id++) {
+            p.fails.put(id, 0.5);
+        }
+        p.periods(6);
+        for (long id = 1; id <= 8; id++) {
+            assertTrue(p.fleet.share(0, id) > 0.06);
+        }
+    }
+
+    @Test
+    void aServerThatAnswersNothingLosesItsWeight() {
+        Play p = play(8, 4);
+        p.periods(5);
+        for (int i = 0; i < 8; i++) {
+            p.step(Fleet.S);
+            for (int z = 0; z < 2; z++) {
+                for (long id = 2; id <= 8; id++) {
+                    p.rules.heard(p.now, id, z, 14, 0, Fleet.S, 200_000, Fleet.NO_LOAD);
+                }
+            }
+            p.rules.close(p.now);
+        }
+        assertTrue(p.fleet.share(0, 1) < 0.05, "a silent server keeps " + p.fleet.share(0, 1));
+    }
+
+    @Test
+    void weightsStayWhenNothingIsHeard() {
+        Play p = play(8, 4);
+        p.meanMs.put(1L, 100.0);
+        p.periods(10);
+        double before = p.fleet.share(0, 1);
+        for (int i = 0; i < 10; i++) {
+            p.step(2 * Fleet.S);
+            p.rules.timer(p.now, 1);
+            p.rules.close(p.now);
+        }
+        assertEquals(before, p.fleet.share(0, 1), 1e-9);
+    }
+
+    @Test
+    void drainingAndGoneServersAreWithdrawnAtOnceAheadOfLines() {
+        Play p = play(8, 4);
+        p.periods(2);
+        p.step(10_000);
+        int before = p.fleet.orders.size();
+        p.list(Assigner.ListForm.CHANGES, List.of(Fleet.state(1, 1, Assigner.State.DRAINING),
+                Fleet.state(2, 0, Assigner.State.GONE)));
+        List<String> said = p.fleet.orders.subList(before, p.fleet.orders.size());
+        assertEquals("withdraw 1 true", said.get(0));
+        assertEquals("withdraw 2 true", said.get(1));
+        p.periods(2);
+        assertFalse(p.fleet.tables.get(0).containsKey(1L));
+        p.list(Assigner.ListForm.CHANGES, List.of(Fleet.ready(1, 1, p.now)));
+        assertFalse(p.fleet.withdrawn.contains(1L));
+    }
+
+    @Test
+    void aServerMissingFromAWholeListIsGone() {
+        Play p = play(8, 4);
+        p.list(Assigner.ListForm.WHOLE, Fleet.servers(7, 2));
+        assertTrue(p.fleet.withdrawn.contains(8L));
+        p.list(Assigner.ListForm.FAILED, List.of());
+        assertEquals(1, p.fleet.withdrawn.size());
+        p.list(Assigner.ListForm.WHOLE, List.of());
+        assertEquals(8, p.fleet.withdrawn.size());
+    }
+
+    @Test
+    void aNewServerStartsAtATenthAndClimbs() {
+        Play p = play(8, 4);
+        p.periods(4);
+        p.step(10_000);
+        p.list(Assigner.ListForm.CHANGES, List.of(Fleet.ready(9, 1, p.now)));
+        p.period();
+        double first = p.fleet.share(0, 9) / p.fleet.share(0, 3);
+        assertTrue(first > 0.05 && first < 0.25, "first share " + first);
+        double last = first;
+        for (int i = 0; i < 4; i++) {
+            p.periods(2);
+            double share = p.fleet.share(0, 9) / p.fleet.share(0, 3);
+            assertTrue(share >= last, share + " after " + last);
+            last = share;
+        }
+        p.periods(12);
+        assertEquals(1, p.fleet.share(0, 9) / p.fleet.share(0, 3), 0.2);
+    }
+
+    @Test
+    void inAJamNoColdServerIsListed() {
+        Play p = play(8, 4);
+        p.periods(4);
+        for (long id = 1; id <= 8; id++) {
+            p.fails.put(id, 0.6);
+        }
+        p.periods(2);
+        p.list(Assigner.ListForm.CHANGES, List.of(Fleet.ready(9, 1, p.now)));
+        p.periods(3);
+        assertFalse(p.fleet.tables.get(0).containsKey(9L), "proxies that avoid the rest crowd onto it");
+        p.periods(9);
+        assertTrue(p.fleet.tables.get(0).containsKey(9L), "warm servers are listed whatever happens");
+    }
+
+    @Test
+    void repeatsOnlyAfterProofAndNoneInAJam() {
+        Play p = play(8, 4);
+        p.periods(3);
+        assertTrue(p.fleet.retries.values().stream().allMatch(r -> r <= 1));
+        for (long id = 1; id <= 8; id++) {
+            p.fails.put(id, 0.6);
+        }
+        p.periods(3);
+        assertEquals(0, p.fleet.retries.get(1));
+        assertEquals(0, p.fleet.retries.get(2));
+        assertTrue(p.fleet.logs.contains("overload: levels lowered"));
+        p.fails.clear();
+        p.periods(20);
+        assertEquals(1, p.fleet.retries.get(1));
+        assertTrue(p.fleet.logs.contains("overload over"));
+    }
+
+    @Test
+    void levelsFallOnTheClassOfLeastWorthFirstAndRiseAgain() {
+        Play p = play(8, 4);
+        for (long id = 1; id <= 8; id++) {
+            p.fails.put(id, 0.4);
+        }
+        p.periods(2);
+        assertTrue(p.fleet.levels.get(1) < 0.5);
+        assertTrue(p.fleet.levels.get(2) == null || p.fleet.levels.get(2) > 0.9);
+        p.fails.clear();
+        p.periods(20);
+        assertEquals(1, p.fleet.levels.get(1), 1e-9);
+    }
+
+    @Test
+    void ratesLimitTheLargeProxiesAndNoLevelsMeansNone() {
+        List<Assigner.Grade> grades = List.of(Fleet.grade(Assigner.Effect.SAFE, 1),
+                Fleet.grade(Assigner.Effect.SAFE, 2));
+        for (Assigner.Levels kind : List.of(Assigner.Levels.RATE, Assigner.Levels.NONE)) {
+            Play p = new Play(Fleet.settings(kind, grades, 2, 0, 0)).start(Fleet.servers(8, 2), 4);
+            for (long id = 1; id <= 8; id++) {
+                p.fails.put(id, 0.4);
+            }
+            p.periods(3);
+            double level = p.fleet.levels.get(1);
+            assertTrue(kind == Assigner.Levels.RATE ? level < 10 : level == 1, kind + " " + level);
+        }
+    }
+
+    @Test
+    void proxiesThatHoldTablesAreBoundOnceTheFleetWasHeard() {
+        Play p = new Play(Fleet.settings());
+        p.rules.listed(p.now, Assigner.ListForm.CACHED, Fleet.servers(8, 2));
+        p.join(0, false);
+        p.join(1, true);
+        p.rules.close(p.now);
+        assertFalse(p.fleet.bound.containsKey(0));
+        assertTrue(p.fleet.bound.containsKey(1));
+        p.step(10_000);
+        p.list(Assigner.ListForm.CHANGES, List.of(Fleet.state(1, 1, Assigner.State.GONE)));
+        p.join(2, false);
+        p.rules.close(p.now);
+        assertEquals(2, p.fleet.orders.stream().filter("withdraw 1 true"::equals).count(),
+                "a proxy that joins with held tables gets the withdrawals too");
+        p.periods(4);
+        assertTrue(p.fleet.bound.containsKey(0));
+        assertTrue(p.fleet.bound.containsKey(2));
+    }
+
+    @Test
+    void theOwnZoneTakesMoreWhileItDoesWellAndLessWhenItDoesWorse() {
+        List<Assigner.Grade> one = List.of(Fleet.grade(Assigner.Effect.SAFE, 1));
+        Play p = new Play(Fleet.settings(Assigner.Levels.SHARE, one, 2, 0.08, 0));
+        p.start(Fleet.servers(8, 2), 4);
+        p.periods(40);
+        double home = 0;
+        for (long id = 2; id <= 8; id += 2) {
+            home += p.fleet.share(0, id);
+        }
+        assertTrue(home > 0.75, "home share " + home);
+        assertEquals(8, p.fleet.tables.get(0).size());
+        for (long id = 2; id <= 8; id += 2) {
+            p.meanMs.put(id, 600.0);
+        }
+        p.periods(8);
+        double after = 0;
+        for (long id = 2; id <= 8; id += 2) {
+            after += p.fleet.share(0, id);
+        }
+        assertTrue(after < 0.45, "home share of a slow zone " + after);
+    }
+
+    @Test
+    void aFailedWatchIsRenewedAndTheListLossIsLoggedOnce() {
+        Play p = play(8, 4);
+        assertTrue(p.fleet.orders.contains("watch true"));
+        p.list(Assigner.ListForm.WHOLE, Fleet.servers(8, 2));
+        p.fleet.orders.clear();
+        p.list(Assigner.ListForm.FAILED, List.of());
+        assertTrue(p.fleet.timers.containsKey(2L));
+        p.rules.timer(p.now, 2);
+        assertTrue(p.fleet.orders.contains("watch true"));
+        p.list(Assigner.ListForm.FAILED, List.of());
+        assertEquals(1, p.fleet.logs.stream().filter("list lost"::equals).count());
+        p.list(Assigner.ListForm.WHOLE, Fleet.servers(8, 2));
+        assertTrue(p.fleet.logs.contains("list back"));
+    }
+
+    @Test
+    void slicesAreNotServedButSaidSo() {
+        List<Assigner.Grade> one = List.of(Fleet.grade(Assigner.Effect.SAFE, 1));
+        Play p = new Play(Fleet.settings(Assigner.Levels.SHARE, one, 2, 0, 16));
+        p.start(Fleet.servers(8, 2), 4);
+        p.rules.sliceGiven(p.now, 1, true);
+        p.periods(3);
+        assertTrue(p.fleet.bound.isEmpty());
+        assertTrue(p.fleet.logs.stream().anyMatch(l -> l.contains("slices are not served")));
+    }
+
+    @Test
+    void oddEventsChangeNothing() {
+        Play p = play(4, 2);
+        p.periods(3);
+        int before = p.fleet.orders.size();
+        p.rules.heard(p.now, 99, 0, 5, 0, Fleet.S, 1000, Fleet.NO_LOAD);
+        p.rules.heard(p.now, 1, 9, 5, 0, Fleet.S, 1000, Fleet.NO_LOAD);
+        p.rules.heard(p.now, 1, 0, 0, 0, 0, 0, Fleet.NO_LOAD);
+        p.rules.usage(p.now, 99, 0, 5, 0, Fleet.S);
+        p.rules.usage(p.now, 0, 9, 5, 0, Fleet.S);
+        p.rules.usage(p.now, 0, 0, 5, 0, 0);
+        p.rules.probed(p.now, 99, Assigner.Probe.DOWN, 0, Fleet.NO_LOAD);
+        p.rules.applied(p.now, 99, 1, 0);
+        p.rules.left(p.now, 99);
+        p.rules.timer(p.now, 77);
+        p.rules.listed(p.now, Assigner.ListForm.CHANGES, List.of(Fleet.state(50, 0, Assigner.State.GONE)));
+        p.rules.close(p.now);
+        assertEquals(before, p.fleet.orders.size());
+        p.join(0, true);
+        p.rules.close(p.now);
+        assertTrue(p.fleet.orders.subList(before, p.fleet.orders.size()).contains("bind 0 0 0"));
+    }
+
+    /** One seeded history: deploys, failures, joins, breaks and stalls; the rules hold all along. */
+    private static Play history(long seed, boolean check) {
+        Random random = new Random(seed);
+        Play p = play(6 + random.nextInt(10), 2 + random.nextInt(8));
+        List<Long> alive = new ArrayList<>(p.fleet.tables.get(0).keySet());
+        java.util.Map<Long, Long> started = new java.util.TreeMap<>();
+        long next = 100;
+        double waiting = 0;
+        for (int i = 0; i < 60; i++) {
+            p.step(10_000);
+            List<Assigner.Entry> changes = new ArrayList<>();
+            if (random.nextInt(4) == 0 && alive.size() > 2) {
+                long id = alive.remove(random.nextInt(alive.size()));
+                changes.add(Fleet.state(id, 0, random.nextBoolean() ? Assigner.State.GONE
+                        : Assigner.State.DRAINING));
+            }
+            if (random.nextInt(4) == 0) {
+                alive.add(++next);
+                started.put(next, p.now);
+                changes.add(Fleet.ready(next, (int) (next % 2), p.now));
+            }
+            if (random.nextInt(5) == 0) {
+                p.fails.put(alive.get(random.nextInt(alive.size())), random.nextDouble());
+            }
+            if (random.nextInt(6) == 0) {
+                p.join(random.nextInt(10), random.nextBoolean());
+            }
+            if (random.nextInt(8) == 0) {
+                int proxy = random.nextInt(10);
+                p.rules.left(p.now, proxy);
+                p.fleet.joined.remove(proxy);
+                p.fleet.bound.remove(proxy);
+            }
+            p.list(Assigner.ListForm.CHANGES, changes);
+            int lines = p.fleet.linesThisReply + 11 * p.fleet.joined.size();
+            if (check) {
+                for (Assigner.Entry e : changes) {
+                    assertEquals(e.state() != Assigner.State.READY, p.fleet.withdrawn.contains(e.server()),
+                            "withdrawn at once, seed " + seed);
+                }
+            }
+            p.period();
+            lines += p.fleet.linesThisReply + 11 * p.fleet.joined.size();
+            waiting = Math.max(0, waiting + lines - 3000);
+            if (check) {
+                assertTrue(waiting <= 4500, "lines waiting " + waiting + ", seed " + seed);
+                for (int z = 0; z < 2; z++) {
+                    long usable = p.fleet.tables.get(z).keySet().stream()
+                            .filter(id -> !p.fleet.withdrawn.contains(id)).count();
+                    assertTrue(usable > 0, "bare, seed " + seed);
+                    long warmOnes = alive.stream()
+                            .filter(id -> started.getOrDefault(id, 0L) + 10 * Fleet.S <= p.now).count();
+                    for (long id : alive) {
+                        if (2 * warmOnes >= alive.size() && started.containsKey(id)
+                                && p.fleet.tables.get(z).containsKey(id)) {
+                            double age = (p.now - started.get(id)) / (10.0 * Fleet.S);
+                            double ready = Math.min(1, 0.1 + 0.9 * age);
+                            double even = 1.0 / p.fleet.tables.get(z).size();
+                            assertTrue(p.fleet.share(z, id) < 4 * even * ready + 0.05,
+                                    "cold server's share " + p.fleet.share(z, id) + ", seed " + seed);
+                        }
+                        boolean warm = started.getOrDefault(id, 0L) + 10 * Fleet.S <= p.now;
+                        assertTrue(!warm || p.fleet.tables.get(z).containsKey(id), "all warm listed " + seed);
+                    }
+                }
+                assertTrue(p.fleet.retries.values().stream().allMatch(r -> r <= 1), "seed " + seed);
+            }
+        }
+        return p;
+    }
+
+    @Test
+    void theRulesHoldOverManyHistories() {
+        for (long seed = 1; seed <= 150; seed++) {
+            history(seed, true);
+        }
+    }
+
+    @Test
+    void sameEventsSameActions() {
+        for (long seed = 1; seed <= 10; seed++) {
+            assertEquals(history(seed, false).fleet.orders, history(seed, false).fleet.orders);
+        }
+    }
+
+    @Test
+    void aSlowChannelHoldsBackWhatCanWait() {
+        Play p = play(12, 8);
+        p.periods(2);
+        double sent = 0;
+        Random random = new Random(3);
+        for (int i = 0; i < 60; i++) {
+            for (long id = 1; id <= 12; id++) {
+                p.meanMs.put(id, 50.0 + 400 * random.nextDouble());
+            }
+            p.step(Fleet.S);
+            for (int z = 0; z < 2; z++) {
+                for (long id = 1; id <= 12; id++) {
+                    p.rules.heard(p.now, id, z, 50, 0, Fleet.S, Math.round(1000 * p.meanMs.get(id)),
+                            Fleet.NO_LOAD);
+                }
+            }
+            int marks = p.fleet.marks;
+            p.rules.close(p.now);
+            if (p.fleet.marks != marks) {
+                sent += p.fleet.linesThisReply + 11 * p.fleet.joined.size();
+            }
+            for (int proxy : p.fleet.joined) {
+                p.rules.applied(p.now, proxy, p.fleet.marks, 20 * Fleet.S);
+            }
+        }
+        assertTrue(sent < 60 * 160, "lines sent into a channel that takes 20 s: " + sent);
+    }
+}
