--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -61,6 +62,9 @@
     private static final double LATE_TIMES = 3;
     /** Least factor of an ill server: enough tries to see it well again. */
     private static final double ILL_LEAST = 0.01;
+    /** Factors at which a server is called ill, and well again: for the logs, probes and overload only. */
+    private static final double ILL_UNDER = 0.3;
+    private static final double WELL_OVER = 0.6;
     /** Standard deviations by which answers must be missing before the missing ones count as failures. */
     private static final double MISSING_SIGMAS = 3.0;
     /** The design's first weight of a new server, as a share of the average. */
@@ -113,14 +117,16 @@
         double sumUs;
         double bad;
 
-        /** Ages what is held by a factor and adds what came meanwhile. */
-        void take(double factor, Tally fresh) {
-            good = good * factor + fresh.good;
-            sumUs = sumUs * factor + fresh.sumUs;
-            bad = bad * factor + fresh.bad;
-            fresh.good = 0;
-            fresh.sumUs = 0;
-            fresh.bad = 0;
+        void scale(double factor) {
+            good *= factor;
+            sumUs *= factor;
+            bad *= factor;
+        }
+
+        void add(Tally other) {
+            good += other.good;
+            sumUs += other.sumUs;
+            bad += other.bad;
         }
     }
 
@@ -140,6 +146,12 @@
         double meanUs;
         double failShare;
         double factor = 1;
+        /** Of the pass at hand: part of the capacity that is ready, climb of a new one, time, cut, share. */
+        double ready;
+        double climb;
+        double time;
+        double scale;
+        double share;
         Tally[] cells;
         Tally[] fresh;
 
@@ -207,6 +219,8 @@
     private final double aimUs;
     private final Map<Long, Server> servers = new TreeMap<>();
     private final Map<Integer, Proxy> proxies = new TreeMap<>();
+    /** The serving servers, as of the last pass. */
+    private final List<Server> up = new ArrayList<>();
     private final Table[] tables;
     private final LinkedHashSet<Long> withdrawals = new LinkedHashSet<>();
     private final double[] levelSent;
@@ -224,9 +238,8 @@
     private double asked;
     private double tried;
     private double let = 1;
-    private double nowGood;
-    private double nowSumUs;
-    private double nowBad;
+    /** What the last period's own reports brought, ill servers aside. */
+    private final Tally period = new Tally();
     private long cutUs;
     private long plannedUs;
     private boolean passDue;
@@ -323,6 +336,14 @@
         return s.state == State.READY;
     }
 
+    private static double total(Collection<Server> of, ToDoubleFunction<Server> what) {
+        double n = 0;
+        for (Server s : of) {
+            n += what.applyAsDouble(s);
+        }
+        return n;
+    }
+
     // Proxies.
 
     @Override
@@ -463,39 +484,31 @@
         missing();
         reported = reports;
         reports = false;
-        nowGood = 0;
-        nowSumUs = 0;
-        nowBad = 0;
+        period.scale(0);
         for (Server s : servers.values()) {
             double half = s.heardNow > 0 ? HALF_PERIODS : FADE_PERIODS;
             double keep = !reported || s.heardNow == 0 && s.probeFailed ? 1 : Math.pow(0.5, periods / half);
             for (int z = 0; z < tables.length; z++) {
                 if (serving(s) && !s.ill) {
-                    nowGood += s.fresh[z].good;
-                    nowSumUs += s.fresh[z].sumUs;
-                    nowBad += s.fresh[z].bad;
+                    period.add(s.fresh[z]);
                 }
-                s.cells[z].take(keep, s.fresh[z]);
+                s.cells[z].scale(keep);
+                s.cells[z].add(s.fresh[z]);
+                s.fresh[z].scale(0);
             }
             double most = Math.min(1, BAD_MOST / Math.max(1, s.bad()));
             for (Tally t : s.cells) {
-                t.bad *= most;
-                t.good *= most;
-                t.sumUs *= most;
+                t.scale(most);
             }
             s.heardNow = 0;
         }
         settle(now);
         judge(now);
         for (int z = 0; z < tables.length; z++) {
-            weigh(now, z);
+            weigh(z);
         }
         levels();
-        for (Server s : servers.values()) {
-            if (set.probes() && serving(s) && s.ill) {
-                to.probe(s.id);
-            }
-        }
+        up.stream().filter(s -> set.probes() && s.ill).forEach(s -> to.probe(s.id));
     }
 
     /**
@@ -506,14 +519,11 @@
      */
     private void settle(long now) {
         heardPasses += reported ? 1 : 0;
-        boolean old = false;
-        for (Proxy p : proxies.values()) {
-            old |= p.holds;
-        }
+        boolean old = proxies.values().stream().anyMatch(p -> p.holds);
         if (settled || old && heardPasses < SETTLE_PASSES && now - startUs < SETTLE_MOST * set.periodUs()) {
             return;
         }
-        settled = heardPasses > 0;
+        settled = heardPasses > 0 || old;
         if (old && asked > 0) {
             let = Math.max(LEVEL_LEAST, Math.min(1, tried / asked));
             over = let < SETTLE_FULL;
@@ -551,52 +561,37 @@
         }
     }
 
-    private static double median(List<Double> of) {
-        if (of.isEmpty()) {
-            return 0;
-        }
-        List<Double> sorted = new ArrayList<>(of);
-        sorted.sort(null);
-        int n = sorted.size();
-        return (sorted.get((n - 1) / 2) + sorted.get(n / 2)) / 2;
+    private static double median(List<Server> of, ToDoubleFunction<Server> what) {
+        double[] sorted = of.stream().mapToDouble(what).sorted().toArray();
+        int n = sorted.length;
+        return n == 0 ? 0 : (sorted[(n - 1) / 2] + sorted[n / 2]) / 2;
     }
 
     /** Each server's average time and share of failures, and how ill it is beside the fleet's median. */
     private void judge(long now) {
-        double good = 0;
-        double sum = 0;
-        double sizes = 0;
-        int n = 0;
-        for (Server s : servers.values()) {
-            if (serving(s)) {
-                good += s.good();
-                sum += s.sum(t -> t.sumUs);
-                sizes += s.listed;
-                n++;
-            }
-        }
-        double average = (sum + FIRST_GUESS * aimUs) / (good + 1);
-        List<Double> means = new ArrayList<>();
-        List<Double> fails = new ArrayList<>();
-        for (Server s : servers.values()) {
-            double size = n == 0 ? 1 : s.listed * n / sizes;
-            s.meanUs = (s.sum(t -> t.sumUs) + PRIOR_TRIES * average / size) / (s.good() + PRIOR_TRIES);
+        up.clear();
+        servers.values().stream().filter(this::serving).forEach(up::add);
+        double sum = total(up, s -> s.sum(t -> t.sumUs)) + FIRST_GUESS * aimUs;
+        double average = sum / (total(up, Server::good) + 1);
+        double size = total(up, s -> s.listed) / Math.max(1, up.size());
+        for (Server s : up) {
+            double prior = PRIOR_TRIES * average * size / s.listed;
+            s.meanUs = (s.sum(t -> t.sumUs) + prior) / (s.good() + PRIOR_TRIES);
             s.failShare = s.bad() / (s.good() + s.bad() + PRIOR_TRIES);
-            if (serving(s)) {
-                means.add(s.meanUs);
-                fails.add(s.failShare);
-            }
-        }
-        double mean = median(means);
-        double fail = median(fails);
-        for (Server s : servers.values()) {
+            double age = s.startedUs == 0 ? 1 : (now - s.startedUs) / Math.max(1.0, set.limits().rampUs());
+            double known = s.startedUs == 0 ? 1 : (now - s.listedUs) / Math.max(1.0, set.limits().rampUs());
+            s.ready = ramp(set.limits().coldFrom(), age, age);
+            s.climb = ramp(COLD_FIRST, age, known);
+        }
+        double mean = median(up, s -> s.meanUs);
+        double fail = median(up, s -> s.failShare);
+        for (Server s : up) {
             double excess = Math.max(0, Math.min(1, s.failShare - fail));
             double late = Math.max(LATE_AIMS * aimUs, LATE_TIMES * mean) / s.meanUs;
             s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, ILL_POWER) * Math.min(1, late));
-            boolean ill = s.factor < 0.3;
-            if (ill != s.ill && serving(s) && s.factor < 0.3 | s.factor > 0.6) {
-                s.ill = ill;
-                to.log("server " + Long.toHexString(s.id) + (ill ? " ill" : " well"));
+            if (s.factor < ILL_UNDER && !s.ill || s.factor > WELL_OVER && s.ill) {
+                s.ill = !s.ill;
+                to.log("server " + Long.toHexString(s.id) + (s.ill ? " ill" : " well"));
             }
         }
         pressure(now);
@@ -611,8 +606,8 @@
         if (!reported) {
             return;
         }
-        double failed = nowBad / Math.max(1, nowGood + nowBad);
-        double late = nowSumUs / Math.max(1, nowGood) / aimUs;
+        double failed = period.bad / Math.max(1, period.good + period.bad);
+        double late = period.sumUs / Math.max(1, period.good) / aimUs;
         boolean jammed = failed > OVER_FAILED || late > OVER_AIMS;
         boolean calm = failed < CALM_SHARE * OVER_FAILED && late < CALM_SHARE * OVER_AIMS;
         if (jammed && now - cutUs >= LEVEL_WAIT * set.periodUs()) {
@@ -627,138 +622,92 @@
         }
     }
 
-    private double coldShare(Server s, long now, double first) {
-        if (s.startedUs == 0) {
-            return 1;
-        }
-        double ramp = Math.max(1, set.limits().rampUs());
-        double age = Math.max(0, now - s.startedUs) / ramp;
-        double climbed = first == COLD_FIRST ? Math.min(age, (now - s.listedUs) / ramp) : age;
-        return age >= 1 ? 1 : Math.min(1, first + (1 - first) * climbed);
+    /** Evenly from a first part to the full over the ramp; age 1: warm whatever was climbed. */
+    private static double ramp(double first, double age, double climbed) {
+        return age >= 1 ? 1 : first + (1 - first) * Math.max(0, Math.min(age, climbed));
     }
 
     /** Zone z's table: weight inverse to d + p, an ill or cold server's cut, all moves bounded. */
-    private void weigh(long now, int z) {
+    private void weigh(int z) {
         Table table = tables[z];
-        double largest = 0;
-        double answered = 0;
-        for (Server s : servers.values()) {
-            if (serving(s)) {
-                largest = Math.max(largest, s.meanUs);
-                answered += s.good();
-            }
-        }
-        boolean silent = answered < 1 && !table.planned.isEmpty();
-        Map<Long, Double> fresh = new TreeMap<>();
-        Map<Long, Double> times = new TreeMap<>();
-        Map<Long, Double> scales = new TreeMap<>();
-        double total = 0;
+        double largest = up.stream().mapToDouble(s -> s.meanUs).max().orElse(0) * FAILURE_TIMES;
+        boolean silent = total(up, Server::good) < 1 && !table.planned.isEmpty();
         double speed = 0;
-        int warm = 0;
-        for (Server s : servers.values()) {
-            if (!serving(s)) {
-                continue;
-            }
+        double warm = 0;
+        for (Server s : up) {
             Tally t = s.cells[z];
             double bad = s.bad();
-            double pooled = (s.meanUs * (s.good() + PRIOR_TRIES) + bad * FAILURE_TIMES * largest)
-                    / (s.good() + PRIOR_TRIES + bad);
-            double p = (t.sumUs + t.bad * FAILURE_TIMES * largest + POOL_TRIES * pooled)
-                    / (t.good + t.bad + POOL_TRIES);
-            double cold = coldShare(s, now, COLD_FIRST);
-            times.put(s.id, p);
-            scales.put(s.id, s.factor * cold);
-            if (cold >= 1) {
-                warm++;
-                speed += s.factor / p;
-            }
-        }
-        for (Map.Entry<Long, Double> e : times.entrySet()) {
-            if (warm > 0 && coldShare(servers.get(e.getKey()), now, COLD_FIRST) < 1) {
-                e.setValue(Math.max(warm / speed, e.getValue()));
-            }
-        }
-        double d = distance(z, times, scales);
-        for (Map.Entry<Long, Double> e : times.entrySet()) {
-            boolean own = servers.get(e.getKey()).zone == z;
-            double weight = scales.get(e.getKey()) / (e.getValue() + (own ? 0 : d));
-            fresh.put(e.getKey(), weight);
-            total += weight;
-        }
-        double sum = 0;
-        for (Map.Entry<Long, Double> e : fresh.entrySet()) {
-            double share = e.getValue() / total;
-            Double last = table.planned.get(e.getKey());
-            Server s = servers.get(e.getKey());
-            if (last != null && coldShare(s, now, COLD_FIRST) >= 1) {
-                share = silent ? last : Math.min(share, Math.max(last * GROW, BACK_SHARE / fresh.size()));
-                if (s.factor > 0.5) {
-                    share = Math.max(share, last * SHRINK);
-                }
-            }
-            e.setValue(share);
-            sum += share;
-        }
-        for (Map.Entry<Long, Double> e : fresh.entrySet()) {
-            e.setValue(e.getValue() / sum);
-        }
-        budget(now, fresh, table);
+            double good = s.good() + PRIOR_TRIES;
+            double pooled = (s.meanUs * good + bad * largest) / (good + bad);
+            s.time = (t.sumUs + t.bad * largest + POOL_TRIES * pooled) / (t.good + t.bad + POOL_TRIES);
+            s.scale = s.factor * s.climb;
+            speed += s.climb < 1 ? 0 : s.factor / s.time;
+            warm += s.climb < 1 ? 0 : 1;
+        }
+        for (Server s : up) {
+            s.time = s.climb < 1 && warm > 0 ? Math.max(warm / speed, s.time) : s.time;
+        }
+        double d = distance(z);
+        double all = total(up, s -> pull(s, z, d));
+        for (Server s : up) {
+            s.share = pull(s, z, d) / all;
+            Double last = table.planned.get(s.id);
+            if (last != null && s.climb >= 1) {
+                double most = Math.max(last * GROW, BACK_SHARE / up.size());
+                double least = s.factor > 0.5 ? last * SHRINK : 0;
+                s.share = silent ? last : Math.max(least, Math.min(most, s.share));
+            }
+        }
+        double sum = total(up, s -> s.share);
+        up.forEach(s -> s.share /= sum);
+        budget(table);
         table.planned.clear();
-        table.planned.putAll(fresh);
-        table.past.add(new HashMap<>(fresh));
+        up.stream().filter(s -> s.share > 0).forEach(s -> table.planned.put(s.id, s.share));
+        table.past.add(new HashMap<>(table.planned));
         if (table.past.size() > 3) {
             table.past.poll();
         }
     }
 
+    /** The design's weight before it is normalised. */
+    private static double pull(Server s, int z, double d) {
+        return s.scale / (s.time + (s.zone == z ? 0 : d));
+    }
+
     /**
      * The distance d to other zones' servers, as long as keeps the wanted part of zone z's requests at home:
      * crossing costs points. The wanted part grows while the own servers do as well as the others and falls
      * to the even share when they do worse, and never passes what the zone's servers can hold of the whole.
      */
-    private double distance(long z, Map<Long, Double> times, Map<Long, Double> scales) {
-        Table table = tables[(int) z];
-        double own = 0;
-        double ownSum = 0;
-        double far = 0;
-        double farSum = 0;
-        double least = Double.MAX_VALUE;
-        for (Map.Entry<Long, Double> e : times.entrySet()) {
-            double scale = scales.get(e.getKey());
-            least = Math.min(least, e.getValue());
-            if (servers.get(e.getKey()).zone == z) {
-                own += scale;
-                ownSum += scale * e.getValue();
-            } else {
-                far += scale;
-                farSum += scale * e.getValue();
-            }
-        }
-        if (own <= 0 || far <= 0 || set.prices().crossZone() <= 0) {
+    private double distance(int z) {
+        Table table = tables[z];
+        List<Server> own = up.stream().filter(s -> s.zone == z).toList();
+        List<Server> far = up.stream().filter(s -> s.zone != z).toList();
+        if (own.isEmpty() || far.isEmpty() || set.prices().crossZone() <= 0) {
             return 0;
         }
-        double worse = ownSum / own / (farSum / far);
+        double ownTime = total(own, s -> s.scale * s.time) / total(own, s -> s.scale);
+        double worse = ownTime / (total(far, s -> s.scale * s.time) / total(far, s -> s.scale));
         if (worse > HOME_WORSE) {
             table.home *= HOME_SHRINK;
-        } else if (worse < HOME_CALM && reported && ownSum / own < HOME_AIMS * aimUs) {
+        } else if (worse < HOME_CALM && reported && ownTime < HOME_AIMS * aimUs) {
             table.home = Math.min(1, table.home + HOME_GROW);
         }
         double all = 0;
         double here = 0;
         for (Proxy p : proxies.values()) {
-            for (double r : p.perS) {
-                all += r;
-                here += p.zone == z ? r : 0;
-            }
+            double perS = Arrays.stream(p.perS).sum();
+            all += perS;
+            here += p.zone == z ? perS : 0;
         }
-        double even = ownShare(z, times, scales, 0);
+        double even = total(own, s -> pull(s, z, 0)) / total(up, s -> pull(s, z, 0));
         double holds = here <= 0 ? 1 : even * all / here;
         double want = even + table.home * (Math.min(HOME_MOST, holds) - even);
         double low = 0;
-        double high = 1000 * least;
+        double high = 1000 * up.stream().mapToDouble(s -> s.time).min().orElse(0);
         for (int i = 0; i < 30 && want > even; i++) {
             double mid = (low + high) / 2;
-            if (ownShare(z, times, scales, mid) < want) {
+            if (total(own, s -> pull(s, z, mid)) < want * total(up, s -> pull(s, z, mid))) {
                 low = mid;
             } else {
                 high = mid;
@@ -767,82 +716,51 @@
         return low;
     }
 
-    private double ownShare(long z, Map<Long, Double> times, Map<Long, Double> scales, double d) {
-        double own = 0;
-        double all = 0;
-        for (Map.Entry<Long, Double> e : times.entrySet()) {
-            boolean home = servers.get(e.getKey()).zone == z;
-            double w = scales.get(e.getKey()) / (e.getValue() + (home ? 0 : d));
-            all += w;
-            own += home ? w : 0;
-        }
-        return all <= 0 ? 0 : own / all;
-    }
-
     /**
      * Cold servers get no more requests than a part of what rule 4 allows at their present capacity, which
      * is taken from what warm servers answer well: in a jam that is at most their capacity, in calm less.
      * Matters when much of the fleet is cold or proxies avoid the warm ones. Could starve cold servers when
      * the load is low, where it costs nothing.
      */
-    private void budget(long now, Map<Long, Double> shares, Table table) {
-        double good = 0;
-        double tries = 0;
-        int warm = 0;
-        double kept = 0;
-        for (Server s : servers.values()) {
-            tries += serving(s) ? s.good() + s.bad() : 0;
-            if (serving(s) && coldShare(s, now, 0) >= 1) {
-                good += s.good();
-                warm++;
-                kept += shares.getOrDefault(s.id, 0.0);
-            }
-        }
-        double well = nowGood + nowBad <= 0 ? 0 : nowGood / (nowGood + nowBad);
+    private void budget(Table table) {
+        List<Server> warm = up.stream().filter(s -> s.ready >= 1).toList();
+        double good = total(warm, Server::good);
+        double well = period.good + period.bad <= 0 ? 0 : period.good / (period.good + period.bad);
         if (well < SHY_NEW) {
-            shy(now, shares, well < SHY_GOOD ? Map.of() : table.sent);
+            shy(well < SHY_GOOD ? Map.of() : table.sent);
         }
-        if (warm == 0 || good <= 0) {
+        if (warm.isEmpty() || good <= 0) {
             return;
         }
+        double usual = good / warm.size() / total(up, s -> s.good() + s.bad()) * Math.pow(well, COLD_JAM);
         double cut = 0;
-        for (Map.Entry<Long, Double> e : shares.entrySet()) {
-            Server s = servers.get(e.getKey());
-            double ready = coldShare(s, now, set.limits().coldFrom());
-            double most = COLD_BUDGET * set.limits().fallMultiple() * ready * good / warm / tries
-                    * Math.pow(well, COLD_JAM);
-            if (coldShare(s, now, 0) < 1 && e.getValue() > most) {
-                cut += e.getValue() - most;
-                e.setValue(most);
-            }
-        }
-        for (Map.Entry<Long, Double> e : shares.entrySet()) {
-            if (coldShare(servers.get(e.getKey()), now, 0) >= 1) {
-                e.setValue(e.getValue() * (1 + cut / kept));
+        for (Server s : up) {
+            double most = COLD_BUDGET * set.limits().fallMultiple() * usual * s.ready;
+            if (s.ready < 1 && s.share > most) {
+                cut += s.share - most;
+                s.share = most;
             }
         }
+        double more = 1 + cut / total(warm, s -> s.share);
+        warm.forEach(s -> s.share *= more);
     }
 
     /**
-     * While most tries fail, or nothing was heard yet after a start, the coldest servers are left out of the
-     * tables as long as the others hold most of the fleet's ready part: proxies that avoid every failing
-     * server would else bring the cold one all. It costs what the cold ones could have done meanwhile.
+     * While many tries fail, or nothing was heard yet after a start, the coldest servers are left out of the
+     * tables as long as the others hold a good part of what is ready: proxies that avoid every failing
+     * server would else bring a cold one all, whatever its weight. It costs what the cold ones could have
+     * done meanwhile, most when a fleet is enlarged in a jam.
      */
-    private void shy(long now, Map<Long, Double> shares, Map<Long, Double> stay) {
-        Map<Long, Double> ready = new TreeMap<>();
-        double all = 0;
-        for (long id : shares.keySet()) {
-            ready.put(id, coldShare(servers.get(id), now, set.limits().coldFrom()));
-            all += ready.get(id);
-        }
-        List<Long> order = new ArrayList<>(ready.keySet());
-        order.sort(Comparator.comparing(ready::get).reversed());
+    private void shy(Map<Long, Double> stay) {
+        List<Server> order = new ArrayList<>(up);
+        order.sort(Comparator.comparingDouble(s -> -s.ready));
+        double all = total(up, s -> s.ready);
         double held = 0;
-        for (long id : order) {
-            if (ready.get(id) < 1 && held >= SHY_REST * all && !stay.containsKey(id)) {
-                shares.remove(id);
+        for (Server s : order) {
+            if (s.ready < 1 && held >= SHY_REST * all && !stay.containsKey(s.id)) {
+                s.share = 0;
             }
-            held += ready.get(id);
+            held += s.ready;
         }
     }
 
