--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -56,7 +56,7 @@
     /** The design's count of a failure: so many times the largest average. */
     private static final double FAILURE_TIMES = 2.0;
     /** Power of the share of good answers, relative to the fleet's median, by which an ill server is cut. */
-    private static final double ILL_POWER = 4.0;
+    private static final double ILL_POWER = 2.0;
     /** A server whose mean passes this share of the aim, and the median by LATE_TIMES, is cut likewise. */
     private static final double LATE_AIMS = 0.6;
     private static final double LATE_TIMES = 3;
