--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -62,6 +62,8 @@
     private static final double LATE_TIMES = 3;
     /** Least factor of an ill server: enough tries to see it well again. */
     private static final double ILL_LEAST = 0.01;
+    /** Most that all cuts together may take of the fleet: when more look ill, it is the load. */
+    private static final double ILL_PART = 0.2;
     /** Factors at which a server is called ill, and well again: for the logs, probes and overload only. */
     private static final double ILL_UNDER = 0.3;
     private static final double WELL_OVER = 0.6;
@@ -589,6 +591,11 @@
             double excess = Math.max(0, Math.min(1, s.failShare - fail));
             double late = Math.max(LATE_AIMS * aimUs, LATE_TIMES * mean) / s.meanUs;
             s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, ILL_POWER) * Math.min(1, late));
+        }
+        double cut = total(up, s -> 1 - s.factor);
+        double part = Math.min(1, ILL_PART * up.size() / Math.max(1, cut));
+        for (Server s : up) {
+            s.factor = 1 - part * (1 - s.factor);
             if (s.factor < ILL_UNDER && !s.ill || s.factor > WELL_OVER && s.ill) {
                 s.ill = !s.ill;
                 to.log("server " + Long.toHexString(s.id) + (s.ill ? " ill" : " well"));
