--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -25,7 +25,7 @@
     // Tuned values. Each is a ratio of a setting where one fits.
 
     /** Periods after which evidence counts half: reports lag by one or more, and a period holds few tries. */
-    private static final double HALF_PERIODS = 2.0;
+    private static final double HALF_PERIODS = 3.5;
     /** Periods after which the evidence of a server nobody tries counts half: it is tried anew. */
     private static final double FADE_PERIODS = 5.0;
     /** Tries of the table's average that stand in for what was not heard yet. */
@@ -56,14 +56,12 @@
     /** The design's count of a failure: so many times the largest average. */
     private static final double FAILURE_TIMES = 2.0;
     /** Power of the share of good answers, relative to the fleet's median, by which an ill server is cut. */
-    private static final double ILL_POWER = 2.0;
+    private static final double ILL_POWER = 1.0;
     /** A server whose mean passes this share of the aim, and the median by LATE_TIMES, is cut likewise. */
     private static final double LATE_AIMS = 0.6;
     private static final double LATE_TIMES = 3;
     /** Least factor of an ill server: enough tries to see it well again. */
     private static final double ILL_LEAST = 0.01;
-    /** Most that all cuts together may take of the fleet: when more look ill, it is the load. */
-    private static final double ILL_PART = 0.2;
     /** Factors at which a server is called ill, and well again: for the logs, probes and overload only. */
     private static final double ILL_UNDER = 0.3;
     private static final double WELL_OVER = 0.6;
@@ -591,11 +589,6 @@
             double excess = Math.max(0, Math.min(1, s.failShare - fail));
             double late = Math.max(LATE_AIMS * aimUs, LATE_TIMES * mean) / s.meanUs;
             s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, ILL_POWER) * Math.min(1, late));
-        }
-        double cut = total(up, s -> 1 - s.factor);
-        double part = Math.min(1, ILL_PART * up.size() / Math.max(1, cut));
-        for (Server s : up) {
-            s.factor = 1 - part * (1 - s.factor);
             if (s.factor < ILL_UNDER && !s.ill || s.factor > WELL_OVER && s.ill) {
                 s.ill = !s.ill;
                 to.log("server " + Long.toHexString(s.id) + (s.ill ? " ill" : " well"));
