--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -25,7 +25,7 @@
     // Tuned values. Each is a ratio of a setting where one fits.
 
     /** Periods after which evidence counts half: reports lag by one or more, and a period holds few tries. */
-    private static final double HALF_PERIODS = 3.5;
+    private static final double HALF_PERIODS = 6;
     /** Periods after which the evidence of a server nobody tries counts half: it is tried anew. */
     private static final double FADE_PERIODS = 5.0;
     /** Tries of the table's average that stand in for what was not heard yet. */
