--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -27,7 +27,7 @@
     /** Periods after which evidence counts half: reports lag by one or more, and a period holds few tries. */
     private static final double HALF_PERIODS = 6;
     /** Periods after which the evidence of a server nobody tries counts half: it is tried anew. */
-    private static final double FADE_PERIODS = 5.0;
+    private static final double FADE_PERIODS = 6;
     /** Tries of the table's average that stand in for what was not heard yet. */
     private static final double PRIOR_TRIES = 3.0;
     /** Tries of the server's own average over all zones that steady one zone's figure. */
@@ -52,7 +52,7 @@
     /** A server that is well again returns to this share of an even part at once, then grows bounded. */
     private static final double BACK_SHARE = 0.4;
     /** Failures held against a server, at most: condemned in a few tries, heard again a few periods later. */
-    private static final double BAD_MOST = 10;
+    private static final double BAD_MOST = 25;
     /** The design's count of a failure: so many times the largest average. */
     private static final double FAILURE_TIMES = 2.0;
     /** Power of the share of good answers, relative to the fleet's median, by which an ill server is cut. */
