--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -25,9 +25,11 @@
     // Tuned values. Each is a ratio of a setting where one fits.
 
     /** Periods after which evidence counts half: reports lag by one or more, and a period holds few tries. */
-    private static final double HALF_PERIODS = 6;
+    private static final double HALF_PERIODS = 9;
     /** Periods after which the evidence of a server nobody tries counts half: it is tried anew. */
     private static final double FADE_PERIODS = 6;
+    /** The same for what came to a proxy. */
+    private static final double DEMAND_PERIODS = 2.0;
     /** Tries of the table's average that stand in for what was not heard yet. */
     private static final double PRIOR_TRIES = 3.0;
     /** Tries of the server's own average over all zones that steady one zone's figure. */
@@ -418,7 +420,7 @@
         if (p == null || grade >= p.perS.length || spanUs <= 0) {
             return;
         }
-        double keep = Math.pow(0.5, spanUs / (HALF_PERIODS * set.periodUs()));
+        double keep = Math.pow(0.5, spanUs / (DEMAND_PERIODS * set.periodUs()));
         asked += settled ? 0 : requests;
         p.perS[grade] = keep * p.perS[grade] + (1 - keep) * requests * 1e6 / spanUs;
     }
