--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -25,11 +25,9 @@
     // Tuned values. Each is a ratio of a setting where one fits.
 
     /** Periods after which evidence counts half: reports lag by one or more, and a period holds few tries. */
-    private static final double HALF_PERIODS = 9;
+    private static final double HALF_PERIODS = 6;
     /** Periods after which the evidence of a server nobody tries counts half: it is tried anew. */
     private static final double FADE_PERIODS = 6;
-    /** The same for what came to a proxy. */
-    private static final double DEMAND_PERIODS = 2.0;
     /** Tries of the table's average that stand in for what was not heard yet. */
     private static final double PRIOR_TRIES = 3.0;
     /** Tries of the server's own average over all zones that steady one zone's figure. */
@@ -147,6 +145,8 @@
         double heardNow;
         double meanUs;
         double failShare;
+        /** The part of its failures that goes beyond the fleet's median: the rest is the load's. */
+        double blame;
         double factor = 1;
         /** Of the pass at hand: part of the capacity that is ready, climb of a new one, time, cut, share. */
         double ready;
@@ -420,7 +420,7 @@
         if (p == null || grade >= p.perS.length || spanUs <= 0) {
             return;
         }
-        double keep = Math.pow(0.5, spanUs / (DEMAND_PERIODS * set.periodUs()));
+        double keep = Math.pow(0.5, spanUs / (HALF_PERIODS * set.periodUs()));
         asked += settled ? 0 : requests;
         p.perS[grade] = keep * p.perS[grade] + (1 - keep) * requests * 1e6 / spanUs;
     }
@@ -589,6 +589,7 @@
         double fail = median(up, s -> s.failShare);
         for (Server s : up) {
             double excess = Math.max(0, Math.min(1, s.failShare - fail));
+            s.blame = excess / Math.max(excess, s.failShare + 1e-9);
             double late = Math.max(LATE_AIMS * aimUs, LATE_TIMES * mean) / s.meanUs;
             s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, ILL_POWER) * Math.min(1, late));
             if (s.factor < ILL_UNDER && !s.ill || s.factor > WELL_OVER && s.ill) {
@@ -638,10 +639,11 @@
         double warm = 0;
         for (Server s : up) {
             Tally t = s.cells[z];
-            double bad = s.bad();
+            double bad = s.bad() * s.blame;
             double good = s.good() + PRIOR_TRIES;
             double pooled = (s.meanUs * good + bad * largest) / (good + bad);
-            s.time = (t.sumUs + t.bad * largest + POOL_TRIES * pooled) / (t.good + t.bad + POOL_TRIES);
+            double here = t.bad * s.blame;
+            s.time = (t.sumUs + here * largest + POOL_TRIES * pooled) / (t.good + here + POOL_TRIES);
             s.scale = s.factor * s.climb;
             speed += s.climb < 1 ? 0 : s.factor / s.time;
             warm += s.climb < 1 ? 0 : 1;
