--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -25,9 +25,9 @@
     // Tuned values. Each is a ratio of a setting where one fits.
 
     /** Periods after which evidence counts half: reports lag by one or more, and a period holds few tries. */
-    private static final double HALF_PERIODS = 6;
+    private static final double HALF_PERIODS = 6.0;
     /** Periods after which the evidence of a server nobody tries counts half: it is tried anew. */
-    private static final double FADE_PERIODS = 6;
+    private static final double FADE_PERIODS = 6.0;
     /** Tries of the table's average that stand in for what was not heard yet. */
     private static final double PRIOR_TRIES = 3.0;
     /** Tries of the server's own average over all zones that steady one zone's figure. */
@@ -52,7 +52,7 @@
     /** A server that is well again returns to this share of an even part at once, then grows bounded. */
     private static final double BACK_SHARE = 0.4;
     /** Failures held against a server, at most: condemned in a few tries, heard again a few periods later. */
-    private static final double BAD_MOST = 25;
+    private static final double BAD_MOST = 25.0;
     /** The design's count of a failure: so many times the largest average. */
     private static final double FAILURE_TIMES = 2.0;
     /** Power of the share of good answers, relative to the fleet's median, by which an ill server is cut. */
@@ -87,10 +87,13 @@
     private static final double OVER_FAILED = 0.15;
     /** Calm again under this share of both. */
     private static final double CALM_SHARE = 0.5;
-    /** Levels: the deepest cut at once, the periods until a cut shows, growth a calm period, least let in. */
+    /** Levels: the deepest cut at once, periods and aims until it shows, growth in calm, least let in. */
     private static final double LEVEL_CUT = 0.6;
-    private static final double LEVEL_WAIT = 2;
+    private static final double LEVEL_WAIT = 1.5;
     private static final double LEVEL_GROW = 1.15;
+    /** Growth near the level that jammed last, and how near that is: what was raised shows only later. */
+    private static final double LEVEL_CREEP = 1.04;
+    private static final double LEVEL_NEAR = 0.85;
     private static final double LEVEL_LEAST = 0.3;
     /** Least that is let in of one class. */
     private static final double CLASS_LEAST = 0.1;
@@ -145,8 +148,6 @@
         double heardNow;
         double meanUs;
         double failShare;
-        /** The part of its failures that goes beyond the fleet's median: the rest is the load's. */
-        double blame;
         double factor = 1;
         /** Of the pass at hand: part of the capacity that is ready, climb of a new one, time, cut, share. */
         double ready;
@@ -243,6 +244,7 @@
     /** What the last period's own reports brought, ill servers aside. */
     private final Tally period = new Tally();
     private long cutUs;
+    private double ceiling = 1;
     private long plannedUs;
     private boolean passDue;
     private int mark;
@@ -589,7 +591,6 @@
         double fail = median(up, s -> s.failShare);
         for (Server s : up) {
             double excess = Math.max(0, Math.min(1, s.failShare - fail));
-            s.blame = excess / Math.max(excess, s.failShare + 1e-9);
             double late = Math.max(LATE_AIMS * aimUs, LATE_TIMES * mean) / s.meanUs;
             s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, ILL_POWER) * Math.min(1, late));
             if (s.factor < ILL_UNDER && !s.ill || s.factor > WELL_OVER && s.ill) {
@@ -613,11 +614,13 @@
         double late = period.sumUs / Math.max(1, period.good) / aimUs;
         boolean jammed = failed > OVER_FAILED || late > OVER_AIMS;
         boolean calm = failed < CALM_SHARE * OVER_FAILED && late < CALM_SHARE * OVER_AIMS;
-        if (jammed && now - cutUs >= LEVEL_WAIT * set.periodUs()) {
+        double showsUs = LEVEL_WAIT * (set.periodUs() + aimUs) + set.channel().lateMostUs();
+        if (jammed && now - cutUs >= showsUs) {
             cutUs = now;
+            ceiling = let;
             let = Math.max(LEVEL_LEAST, let * Math.max(LEVEL_CUT, 1 - Math.max(failed, late - OVER_AIMS)));
         } else if (calm) {
-            let = Math.min(1, let * LEVEL_GROW);
+            let = Math.min(1, let * (let < LEVEL_NEAR * ceiling ? LEVEL_GROW : LEVEL_CREEP));
         }
         if (over != jammed && (jammed || let >= 1)) {
             over = jammed;
@@ -639,11 +642,10 @@
         double warm = 0;
         for (Server s : up) {
             Tally t = s.cells[z];
-            double bad = s.bad() * s.blame;
+            double bad = s.bad();
             double good = s.good() + PRIOR_TRIES;
             double pooled = (s.meanUs * good + bad * largest) / (good + bad);
-            double here = t.bad * s.blame;
-            s.time = (t.sumUs + here * largest + POOL_TRIES * pooled) / (t.good + here + POOL_TRIES);
+            s.time = (t.sumUs + t.bad * largest + POOL_TRIES * pooled) / (t.good + t.bad + POOL_TRIES);
             s.scale = s.factor * s.climb;
             speed += s.climb < 1 ? 0 : s.factor / s.time;
             warm += s.climb < 1 ? 0 : 1;
