--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -83,10 +83,10 @@
     private static final double QUEUE_CALM = 0.5;
     private static final double QUEUE_MOST = 0.85;
     /** Overload: the median server's mean, as a share of the shortest aim, or its share of failures. */
-    private static final double OVER_AIMS = 0.75;
-    private static final double OVER_FAILED = 0.15;
+    private static final double OVER_AIMS = 0.6;
+    private static final double OVER_FAILED = 0.1;
     /** Calm again under this share of both. */
-    private static final double CALM_SHARE = 0.5;
+    private static final double CALM_SHARE = 0.7;
     /** Levels: the deepest cut at once, periods and aims until it shows, growth in calm, least let in. */
     private static final double LEVEL_CUT = 0.6;
     private static final double LEVEL_WAIT = 1.5;
