--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -36,8 +36,8 @@
     private static final double FIRST_GUESS = 0.3;
     /** Most of a zone's requests that stay in it: the rest keeps other zones' figures fresh. */
     private static final double HOME_MOST = 0.93;
-    /** How the pull of the own zone grows in a calm period, and shrinks when its servers do worse. */
-    private static final double HOME_GROW = 0.04;
+    /** How the pull of the own zone grows in a calm second, and shrinks in a period that does worse. */
+    private static final double HOME_GROW = 0.08;
     private static final double HOME_SHRINK = 0.4;
     /** Own servers do worse when their time, failures counted, passes that of the others so many times. */
     private static final double HOME_WORSE = 1.3;
@@ -697,7 +697,7 @@
         if (worse > HOME_WORSE) {
             table.home *= HOME_SHRINK;
         } else if (worse < HOME_CALM && reported && ownTime < HOME_AIMS * aimUs) {
-            table.home = Math.min(1, table.home + HOME_GROW);
+            table.home = Math.min(1, table.home + HOME_GROW * set.periodUs() / 1e6);
         }
         double all = 0;
         double here = 0;
