--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -36,14 +36,14 @@
     private static final double FIRST_GUESS = 0.3;
     /** Most of a zone's requests that stay in it: the rest keeps other zones' figures fresh. */
     private static final double HOME_MOST = 0.93;
-    /** How the pull of the own zone grows in a calm second, and shrinks in a period that does worse. */
-    private static final double HOME_GROW = 0.08;
+    /** How the pull of the own zone grows in a calm period, and shrinks when its servers do worse. */
+    private static final double HOME_GROW = 0.04;
     private static final double HOME_SHRINK = 0.4;
     /** Own servers do worse when their time, failures counted, passes that of the others so many times. */
-    private static final double HOME_WORSE = 1.3;
+    private static final double HOME_WORSE = 1.2;
     private static final double HOME_CALM = 1.1;
     /** The pull grows only while the own servers' mean stays under this share of the aim. */
-    private static final double HOME_AIMS = 0.45;
+    private static final double HOME_AIMS = 0.3;
     /** The design's dead band: a line goes out once its weight moved by a tenth. */
     private static final double DEAD_BAND = 0.1;
     /** Most that a weight may grow or shrink in a period: reports lag, large steps swing. */
@@ -697,7 +697,7 @@
         if (worse > HOME_WORSE) {
             table.home *= HOME_SHRINK;
         } else if (worse < HOME_CALM && reported && ownTime < HOME_AIMS * aimUs) {
-            table.home = Math.min(1, table.home + HOME_GROW * set.periodUs() / 1e6);
+            table.home = Math.min(1, table.home + HOME_GROW);
         }
         double all = 0;
         double here = 0;
