--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -58,8 +58,8 @@
     /** Power of the share of good answers, relative to the fleet's median, by which an ill server is cut. */
     private static final double ILL_POWER = 1.0;
     /** A server whose mean passes this share of the aim, and the median by LATE_TIMES, is cut likewise. */
-    private static final double LATE_AIMS = 0.6;
-    private static final double LATE_TIMES = 3;
+    private static final double LATE_AIMS = 0.4;
+    private static final double LATE_TIMES = 1.5;
     /** Least factor of an ill server: enough tries to see it well again. */
     private static final double ILL_LEAST = 0.01;
     /** Factors at which a server is called ill, and well again: for the logs, probes and overload only. */
