--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -29,9 +29,9 @@
     /** Periods after which the evidence of a server nobody tries counts half: it is tried anew. */
     private static final double FADE_PERIODS = 6.0;
     /** Tries of the table's average that stand in for what was not heard yet. */
-    private static final double PRIOR_TRIES = 3.0;
+    private static final double PRIOR_TRIES = 10.0;
     /** Tries of the server's own average over all zones that steady one zone's figure. */
-    private static final double POOL_TRIES = 6.0;
+    private static final double POOL_TRIES = 30.0;
     /** A guess at an unloaded answer, as a share of the shortest aim, until the first report. */
     private static final double FIRST_GUESS = 0.3;
     /** Most of a zone's requests that stay in it: the rest keeps other zones' figures fresh. */
@@ -55,11 +55,6 @@
     private static final double BAD_MOST = 25.0;
     /** The design's count of a failure: so many times the largest average. */
     private static final double FAILURE_TIMES = 2.0;
-    /** Power of the share of good answers, relative to the fleet's median, by which an ill server is cut. */
-    private static final double ILL_POWER = 1.0;
-    /** A server whose mean passes this share of the aim, and the median by LATE_TIMES, is cut likewise. */
-    private static final double LATE_AIMS = 0.4;
-    private static final double LATE_TIMES = 1.5;
     /** Least factor of an ill server: enough tries to see it well again. */
     private static final double ILL_LEAST = 0.01;
     /** Factors at which a server is called ill, and well again: for the logs, probes and overload only. */
@@ -587,12 +582,10 @@
             s.ready = ramp(set.limits().coldFrom(), age, age);
             s.climb = ramp(COLD_FIRST, age, known);
         }
-        double mean = median(up, s -> s.meanUs);
         double fail = median(up, s -> s.failShare);
         for (Server s : up) {
             double excess = Math.max(0, Math.min(1, s.failShare - fail));
-            double late = Math.max(LATE_AIMS * aimUs, LATE_TIMES * mean) / s.meanUs;
-            s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, ILL_POWER) * Math.min(1, late));
+            s.factor = Math.max(ILL_LEAST, 1 - excess);
             if (s.factor < ILL_UNDER && !s.ill || s.factor > WELL_OVER && s.ill) {
                 s.ill = !s.ill;
                 to.log("server " + Long.toHexString(s.id) + (s.ill ? " ill" : " well"));
