--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -29,9 +29,9 @@
     /** Periods after which the evidence of a server nobody tries counts half: it is tried anew. */
     private static final double FADE_PERIODS = 6.0;
     /** Tries of the table's average that stand in for what was not heard yet. */
-    private static final double PRIOR_TRIES = 10.0;
+    private static final double PRIOR_TRIES = 25.0;
     /** Tries of the server's own average over all zones that steady one zone's figure. */
-    private static final double POOL_TRIES = 30.0;
+    private static final double POOL_TRIES = 150.0;
     /** A guess at an unloaded answer, as a share of the shortest aim, until the first report. */
     private static final double FIRST_GUESS = 0.3;
     /** Most of a zone's requests that stay in it: the rest keeps other zones' figures fresh. */
