--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -30,6 +30,8 @@
     private static final double FADE_PERIODS = 6.0;
     /** Tries of the table's average that stand in for what was not heard yet. */
     private static final double PRIOR_TRIES = 25.0;
+    /** Good tries that stand in the same way when its share of failures is taken. */
+    private static final double FAIL_PRIOR = 8.0;
     /** Tries of the server's own average over all zones that steady one zone's figure. */
     private static final double POOL_TRIES = 150.0;
     /** A guess at an unloaded answer, as a share of the shortest aim, until the first report. */
@@ -53,6 +55,9 @@
     private static final double BACK_SHARE = 0.4;
     /** Failures held against a server, at most: condemned in a few tries, heard again a few periods later. */
     private static final double BAD_MOST = 25.0;
+    /** Failures in a row, with no good answer between, after which older evidence is kept to this part. */
+    private static final double RUN = 6.0;
+    private static final double RUN_KEEP = 0.3;
     /** The design's count of a failure: so many times the largest average. */
     private static final double FAILURE_TIMES = 2.0;
     /** Least factor of an ill server: enough tries to see it well again. */
@@ -141,6 +146,7 @@
         double expected;
         double ended;
         double heardNow;
+        double run;
         double meanUs;
         double failShare;
         double factor = 1;
@@ -487,6 +493,16 @@
         for (Server s : servers.values()) {
             double half = s.heardNow > 0 ? HALF_PERIODS : FADE_PERIODS;
             double keep = !reported || s.heardNow == 0 && s.probeFailed ? 1 : Math.pow(0.5, periods / half);
+            // A run of failures without a good answer makes what was good before count little: a server
+            // that died before the list tells, hangs or is cut off. In a jam the median guards all.
+            double good = 0;
+            double bad = 0;
+            for (Tally t : s.fresh) {
+                good += t.good;
+                bad += t.bad;
+            }
+            s.run = good > 0 ? 0 : s.run + bad;
+            keep *= s.run >= RUN ? RUN_KEEP : 1;
             for (int z = 0; z < tables.length; z++) {
                 if (serving(s) && !s.ill) {
                     period.add(s.fresh[z]);
@@ -576,7 +592,7 @@
         for (Server s : up) {
             double prior = PRIOR_TRIES * average * size / s.listed;
             s.meanUs = (s.sum(t -> t.sumUs) + prior) / (s.good() + PRIOR_TRIES);
-            s.failShare = s.bad() / (s.good() + s.bad() + PRIOR_TRIES);
+            s.failShare = s.bad() / (s.good() + s.bad() + FAIL_PRIOR);
             double age = s.startedUs == 0 ? 1 : (now - s.startedUs) / Math.max(1.0, set.limits().rampUs());
             double known = s.startedUs == 0 ? 1 : (now - s.listedUs) / Math.max(1.0, set.limits().rampUs());
             s.ready = ramp(set.limits().coldFrom(), age, age);
