--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -94,9 +94,9 @@
     /** Growth near the level that jammed last, and how near that is: what was raised shows only later. */
     private static final double LEVEL_CREEP = 1.04;
     private static final double LEVEL_NEAR = 0.85;
-    private static final double LEVEL_LEAST = 0.3;
+    private static final double LEVEL_LEAST = 0.15;
     /** Least that is let in of one class. */
-    private static final double CLASS_LEAST = 0.1;
+    private static final double CLASS_LEAST = 0.03;
     /** A rate that limits nobody, requests a second. */
     private static final double NO_LIMIT = 1e6;
     /** Part of the limit for asking the list after which a failed watch is renewed (or half a period). */
