--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -44,8 +44,6 @@
     /** Own servers do worse when their time, failures counted, passes that of the others so many times. */
     private static final double HOME_WORSE = 1.2;
     private static final double HOME_CALM = 1.1;
-    /** In a jam that is everywhere alike it grows so many times as fast: crossing helps nobody then. */
-    private static final double HOME_JAM = 3;
     /** The pull grows only while the own servers' mean stays under this share of the aim. */
     private static final double HOME_AIMS = 0.3;
     /** The design's dead band: a line goes out once its weight moved by a tenth. */
@@ -705,10 +703,10 @@
         }
         double ownTime = total(own, s -> s.scale * s.time) / total(own, s -> s.scale);
         double worse = ownTime / (total(far, s -> s.scale * s.time) / total(far, s -> s.scale));
-        if (worse > HOME_WORSE) {
+        if (worse > HOME_WORSE || over) {
             table.home *= HOME_SHRINK;
-        } else if (worse < HOME_CALM && reported && (over || ownTime < HOME_AIMS * aimUs)) {
-            table.home = Math.min(1, table.home + (over ? HOME_JAM : 1) * HOME_GROW);
+        } else if (worse < HOME_CALM && reported && ownTime < HOME_AIMS * aimUs) {
+            table.home = Math.min(1, table.home + HOME_GROW);
         }
         double all = 0;
         double here = 0;
