Levels belong to tables, so that they outlast a crash of the assigner

Cause: a level for all tables is carried in every message, so a restarted instance's first withdrawal lifted the levels held.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -214,8 +214,18 @@
         final Map<Long, Double> planned = new TreeMap<>();
         final Map<Long, Double> sent = new TreeMap<>();
         final ArrayDeque<Map<Long, Double>> past = new ArrayDeque<>();
+        /** What was ordered of levels and retries, by class. */
+        final double[] level;
+        final int[] retry;
         double endedNow;
         double home;
+
+        Table(int grades, double full, int usualRetry) {
+            level = new double[grades];
+            retry = new int[grades];
+            Arrays.fill(level, full);
+            Arrays.fill(retry, usualRetry);
+        }
     }
 
     private final Settings set;
@@ -227,8 +237,6 @@
     private final List<Server> up = new ArrayList<>();
     private final Table[] tables;
     private final LinkedHashSet<Long> withdrawals = new LinkedHashSet<>();
-    private final double[] levelSent;
-    private final int[] retrySent;
     private final double[] level;
     private boolean started;
     private boolean watching;
@@ -261,18 +269,14 @@
             least = Math.min(least, g.aimUs());
         }
         aimUs = set.grades().isEmpty() ? set.periodUs() : least;
+        double full = set.levels() == Levels.RATE ? NO_LIMIT : 1;
+        level = new double[set.grades().size()];
+        Arrays.fill(level, full);
         int zones = Math.max(1, set.zones());
         tables = new Table[zones];
         for (int z = 0; z < zones; z++) {
-            tables[z] = new Table();
-        }
-        int n = set.grades().size();
-        level = new double[n];
-        levelSent = new double[n];
-        retrySent = new int[n];
-        Arrays.fill(level, 1);
-        Arrays.fill(levelSent, 1);
-        Arrays.fill(retrySent, set.usualRetry());
+            tables[z] = new Table(level.length, full, set.usualRetry());
+        }
         if (set.slices() > 0) {
             to.log("slices are not served: this instance binds nothing and orders nothing");
         }
@@ -703,7 +707,7 @@
         }
         double ownTime = total(own, s -> s.scale * s.time) / total(own, s -> s.scale);
         double worse = ownTime / (total(far, s -> s.scale * s.time) / total(far, s -> s.scale));
-        if (worse > HOME_WORSE || over) {
+        if (worse > HOME_WORSE) {
             table.home *= HOME_SHRINK;
         } else if (worse < HOME_CALM && reported && ownTime < HOME_AIMS * aimUs) {
             table.home = Math.min(1, table.home + HOME_GROW);
@@ -848,20 +852,6 @@
         }
         withdrawals.clear();
         double room = c.backlog() * QUEUE_CALM - waiting - count(lines);
-        for (int k = 0; k < level.length; k++) {
-            double value = set.levels() == Levels.NONE ? 1 : level[k];
-            int retry = retry();
-            boolean moved = Math.abs(value - levelSent[k]) > DEAD_BAND * Math.min(value, levelSent[k])
-                    || value != levelSent[k] && (value == 1 || value == NO_LIMIT);
-            double cost = proxies.size() * (c.head() + 2);
-            if ((moved || retry != retrySent[k]) && cost <= room) {
-                to.admit(ALL_TABLES, 1 << k, value, retry);
-                levelSent[k] = value;
-                retrySent[k] = retry;
-                proxies.keySet().forEach(p -> lines.merge(p, 1.0, Double::sum));
-                room -= cost;
-            }
-        }
         for (int z = 0; z < tables.length; z++) {
             room = lines(z, lines, room);
         }
@@ -894,7 +884,10 @@
         return sum;
     }
 
-    /** The lines of one table that moved by more than the dead band. */
+    /**
+     * One table's levels and the lines that moved by more than the dead band. Levels belong to tables, not to
+     * all at once: so they outlast a crash, where a new instance's first message would lift them.
+     */
     private double lines(int z, Map<Integer, Double> lines, double room) {
         Table table = tables[z];
         List<Integer> users = new ArrayList<>();
@@ -904,9 +897,23 @@
             }
         });
         double left = room - users.size() * (set.channel().head() + 1);
+        boolean any = false;
+        for (int k = 0; k < level.length && left >= users.size(); k++) {
+            double value = set.levels() == Levels.NONE ? 1 : level[k];
+            double last = table.level[k];
+            boolean moved = Math.abs(value - last) > DEAD_BAND * Math.min(value, last)
+                    || value != last && (value == 1 || value == NO_LIMIT);
+            if (moved || retry() != table.retry[k]) {
+                any = true;
+                to.admit(z, 1 << k, value, retry());
+                table.level[k] = value;
+                table.retry[k] = retry();
+                left -= users.size();
+                users.forEach(u -> lines.merge(u, 1.0, Double::sum));
+            }
+        }
         LinkedHashSet<Long> ids = new LinkedHashSet<>(table.sent.keySet());
         ids.addAll(table.planned.keySet());
-        boolean any = false;
         for (long id : ids) {
             Server s = servers.get(id);
             double weight = serving(s) ? table.planned.getOrDefault(id, 0.0) : 0;
