--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -60,6 +60,9 @@
     private static final double RUN_KEEP = 0.3;
     /** The design's count of a failure: so many times the largest average. */
     private static final double FAILURE_TIMES = 2.0;
+    /** The cut goes by the share of good answers beside the median, to the first power in a jam,
+     * where failures are the load's, and to so many more while the rest is well. */
+    private static final double ILL_CALM = 2.0;
     /** Least factor of an ill server: enough tries to see it well again. */
     private static final double ILL_LEAST = 0.01;
     /** Factors at which a server is called ill, and well again: for the logs, probes and overload only. */
@@ -603,9 +606,10 @@
             s.climb = ramp(COLD_FIRST, age, known);
         }
         double fail = median(up, s -> s.failShare);
+        double power = 1 + ILL_CALM * Math.max(0, 1 - fail / OVER_FAILED);
         for (Server s : up) {
             double excess = Math.max(0, Math.min(1, s.failShare - fail));
-            s.factor = Math.max(ILL_LEAST, 1 - excess);
+            s.factor = Math.max(ILL_LEAST, Math.pow(1 - excess, power));
             if (s.factor < ILL_UNDER && !s.ill || s.factor > WELL_OVER && s.ill) {
                 s.ill = !s.ill;
                 to.log("server " + Long.toHexString(s.id) + (s.ill ? " ill" : " well"));
