--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -62,7 +62,7 @@
     private static final double FAILURE_TIMES = 2.0;
     /** The cut goes by the share of good answers beside the median, to the first power in a jam,
      * where failures are the load's, and to so many more while the rest is well. */
-    private static final double ILL_CALM = 2.0;
+    private static final double ILL_CALM = 1.0;
     /** Least factor of an ill server: enough tries to see it well again. */
     private static final double ILL_LEAST = 0.01;
     /** Factors at which a server is called ill, and well again: for the logs, probes and overload only. */
