--- a/src/main/java/pearusher/Assigner.java
+++ b/src/main/java/pearusher/Assigner.java
@@ -85,9 +85,6 @@
         void log(String text);
     }
 
-    /** Stands for all joined proxies' tables in {@link Orders#admit}. */
-    int ALL_TABLES = 65535;
-
     void listed(long now, ListForm form, List<Entry> entries);
 
     void timer(long now, long token);
--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -82,9 +82,8 @@
     /** Under this share no cold server is listed that was not before. */
     private static final double SHY_NEW = 0.85;
     private static final double SHY_REST = 0.3;
-    /** Share of the backlog kept for what can be put off (design) and for what can't. */
+    /** Share of the backlog, and of the messages a proxy may be sent, that what can be put off may fill. */
     private static final double QUEUE_CALM = 0.5;
-    private static final double QUEUE_MOST = 0.85;
     /** Overload: the median server's mean, as a share of the shortest aim, or its share of failures. */
     private static final double OVER_AIMS = 0.6;
     private static final double OVER_FAILED = 0.1;
@@ -204,6 +203,7 @@
         boolean bound;
         double[] perS;
         final ArrayDeque<double[]> unanswered = new ArrayDeque<>();
+        final ArrayDeque<Long> messages = new ArrayDeque<>();
 
         Proxy(int zone, boolean holds, int grades) {
             this.zone = zone;
@@ -856,6 +856,7 @@
         }
         withdrawals.clear();
         double room = c.backlog() * QUEUE_CALM - waiting - count(lines);
+        proxies.values().forEach(p -> p.messages.removeIf(t -> now - t >= c.messagesOverUs()));
         for (int z = 0; z < tables.length; z++) {
             room = lines(z, lines, room);
         }
@@ -876,6 +877,7 @@
             waiting += count(lines);
             for (int id : lines.keySet()) {
                 proxies.get(id).unanswered.add(new double[] {mark, waiting});
+                proxies.get(id).messages.add(now);
             }
         }
     }
@@ -900,6 +902,11 @@
                 users.add(id);
             }
         });
+        // What can wait does while a proxy of the zone has had half the messages that it may be sent.
+        double most = set.channel().messagesMost() == 0 ? Double.MAX_VALUE : set.channel().messagesMost();
+        if (users.stream().anyMatch(u -> proxies.get(u).messages.size() >= QUEUE_CALM * most)) {
+            return room;
+        }
         double left = room - users.size() * (set.channel().head() + 1);
         boolean any = false;
         for (int k = 0; k < level.length && left >= users.size(); k++) {
--- a/src/test/java/pearusher/RulesTest.java
+++ b/src/test/java/pearusher/RulesTest.java
@@ -278,6 +278,25 @@
         assertTrue(p.fleet.bound.size() == 4);
     }
 
+    @Test
+    void whereMessagesAreCappedCalmLinesWaitAndWithdrawalsDoNot() {
+        List<Assigner.Grade> one = List.of(Fleet.grade(Assigner.Effect.SAFE, 1));
+        Play p = new Play(Fleet.settings(Assigner.Levels.SHARE, one, 2, 0, 0, 6));
+        p.start(Fleet.servers(8, 2), 4);
+        int marks = 0;
+        for (int i = 0; i < 9; i++) {
+            p.meanMs.put(1L, i % 2 == 0 ? 50.0 : 800.0);
+            p.triesPerZone = 2000;
+            p.period();
+            marks = Math.max(marks, p.fleet.marks);
+        }
+        assertTrue(marks <= 3, "calm messages in ten seconds: " + marks);
+        p.step(1000);
+        p.list(Assigner.ListForm.CHANGES, List.of(Fleet.state(2, 0, Assigner.State.GONE)));
+        assertTrue(p.fleet.withdrawn.contains(2L));
+        assertEquals(marks + 1, p.fleet.marks);
+    }
+
     @Test
     void aRunOfFailuresOutweighsAGoodPast() {
         Play p = play(8, 4);
