--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -78,9 +78,9 @@
      * all crowd onto the few they don't know yet. */
     private static final double COLD_JAM = 2.0;
     /** Under this share of good answers the readiest servers that hold the second share of all carry all. */
-    private static final double SHY_GOOD = 0.65;
+    private static final double SHY_GOOD = 0.8;
     /** Under this share no cold server is listed that was not before. */
-    private static final double SHY_NEW = 0.85;
+    private static final double SHY_NEW = 0.92;
     private static final double SHY_REST = 0.3;
     /** Share of the backlog, and of the messages a proxy may be sent, that what can be put off may fill. */
     private static final double QUEUE_CALM = 0.5;
