--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -82,6 +82,8 @@
     /** Under this share no cold server is listed that was not before. */
     private static final double SHY_NEW = 0.92;
     private static final double SHY_REST = 0.3;
+    /** Reports further behind than this don't show the fleet as it is: the same as none. */
+    private static final double STALE_PERIODS = 2.0;
     /** Share of the backlog, and of the messages a proxy may be sent, that what can be put off may fill. */
     private static final double QUEUE_CALM = 0.5;
     /** Overload: the median server's mean, as a share of the shortest aim, or its share of failures. */
@@ -202,10 +204,15 @@
         final boolean holds;
         boolean bound;
         double[] perS;
+        /** When it joined, and how much time its reports have covered since, by class. */
+        final long joinedUs;
+        final double[] coveredUs;
         final ArrayDeque<double[]> unanswered = new ArrayDeque<>();
         final ArrayDeque<Long> messages = new ArrayDeque<>();
 
-        Proxy(int zone, boolean holds, int grades) {
+        Proxy(int zone, boolean holds, int grades, long joinedUs) {
+            this.joinedUs = joinedUs;
+            coveredUs = new double[grades];
             this.zone = zone;
             this.holds = holds;
             perS = new double[grades];
@@ -360,7 +367,7 @@
 
     @Override
     public void joined(long now, int proxy, int zone, double perS, boolean onlyStanding) {
-        Proxy p = new Proxy(Math.min(zone, tables.length - 1), !onlyStanding, level.length);
+        Proxy p = new Proxy(Math.min(zone, tables.length - 1), !onlyStanding, level.length, now);
         Arrays.fill(p.perS, Math.max(0, perS) / Math.max(1, level.length));
         proxies.put(proxy, p);
         if (p.holds && !settled) {
@@ -431,6 +438,7 @@
             return;
         }
         double keep = Math.pow(0.5, spanUs / (HALF_PERIODS * set.periodUs()));
+        p.coveredUs[grade] += spanUs;
         asked += settled ? 0 : requests;
         p.perS[grade] = keep * p.perS[grade] + (1 - keep) * requests * 1e6 / spanUs;
     }
@@ -583,6 +591,15 @@
         }
     }
 
+    /** How far behind the reports are: the time since proxies joined that none has covered, on average. */
+    private double lagUs(long now) {
+        double sum = 0;
+        for (Proxy p : proxies.values()) {
+            sum += Math.max(0, now - p.joinedUs - Arrays.stream(p.coveredUs).max().orElse(0));
+        }
+        return sum / Math.max(1, proxies.size());
+    }
+
     private static double median(List<Server> of, ToDoubleFunction<Server> what) {
         double[] sorted = of.stream().mapToDouble(what).sorted().toArray();
         int n = sorted.length;
@@ -748,7 +765,8 @@
     private void budget(Table table) {
         List<Server> warm = up.stream().filter(s -> s.ready >= 1).toList();
         double good = total(warm, Server::good);
-        double well = period.good + period.bad <= 0 ? 0 : period.good / (period.good + period.bad);
+        boolean stale = lagUs(plannedUs) > STALE_PERIODS * set.periodUs();
+        double well = stale || period.good <= 0 ? 0 : period.good / (period.good + period.bad);
         if (well < SHY_NEW) {
             shy(well < SHY_GOOD ? Map.of() : table.sent);
         }
--- a/src/test/java/pearusher/RulesTest.java
+++ b/src/test/java/pearusher/RulesTest.java
@@ -191,6 +191,18 @@
         assertTrue(p.fleet.tables.get(0).containsKey(9L), "warm servers are listed whatever happens");
     }
 
+    @Test
+    void whileReportsAreFarBehindNoColdServerIsListed() {
+        for (long lag : new long[] {0, 5}) {
+            Play p = play(8, 4);
+            p.step(lag * Fleet.S);
+            p.periods(4);
+            p.list(Assigner.ListForm.CHANGES, List.of(Fleet.ready(9, 1, p.now)));
+            p.periods(3);
+            assertEquals(lag == 0, p.fleet.tables.get(0).containsKey(9L), "reports behind by " + lag + " s");
+        }
+    }
+
     @Test
     void repeatsOnlyAfterProofAndNoneInAJam() {
         Play p = play(8, 4);
