--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -91,7 +91,7 @@
     private static final double OVER_FAILED = 0.1;
     /** Calm again under this share of both. */
     private static final double CALM_SHARE = 0.7;
-    /** Levels: the deepest cut at once, periods and aims until it shows, growth in calm, least let in. */
+    /** Levels: the deepest cut at once, periods and aims until it shows, growth a calm second. */
     private static final double LEVEL_CUT = 0.6;
     private static final double LEVEL_WAIT = 1.5;
     private static final double LEVEL_GROW = 1.15;
@@ -651,10 +651,11 @@
         double showsUs = LEVEL_WAIT * (set.periodUs() + aimUs) + set.channel().lateMostUs();
         if (jammed && now - cutUs >= showsUs) {
             cutUs = now;
-            ceiling = let;
+            ceiling = over ? ceiling : let;
             let = Math.max(LEVEL_LEAST, let * Math.max(LEVEL_CUT, 1 - Math.max(failed, late - OVER_AIMS)));
         } else if (calm) {
-            let = Math.min(1, let * (let < LEVEL_NEAR * ceiling ? LEVEL_GROW : LEVEL_CREEP));
+            double grow = let < LEVEL_NEAR * ceiling ? LEVEL_GROW : LEVEL_CREEP;
+            let = Math.min(1, let * Math.pow(grow, set.periodUs() / 1e6));
         }
         if (over != jammed && (jammed || let >= 1)) {
             over = jammed;
