--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -651,7 +651,7 @@
         double showsUs = LEVEL_WAIT * (set.periodUs() + aimUs) + set.channel().lateMostUs();
         if (jammed && now - cutUs >= showsUs) {
             cutUs = now;
-            ceiling = over ? ceiling : let;
+            ceiling = let;
             let = Math.max(LEVEL_LEAST, let * Math.max(LEVEL_CUT, 1 - Math.max(failed, late - OVER_AIMS)));
         } else if (calm) {
             double grow = let < LEVEL_NEAR * ceiling ? LEVEL_GROW : LEVEL_CREEP;
