--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -86,12 +86,12 @@
     private static final double STALE_PERIODS = 2.0;
     /** Share of the backlog, and of the messages a proxy may be sent, that what can be put off may fill. */
     private static final double QUEUE_CALM = 0.5;
-    /** Overload: the median server's mean, as a share of the shortest aim, or its share of failures. */
+    /** Overload, ill servers aside: a period's mean as a share of the shortest aim, or what failed. */
     private static final double OVER_AIMS = 0.6;
     private static final double OVER_FAILED = 0.1;
     /** Calm again under this share of both. */
     private static final double CALM_SHARE = 0.7;
-    /** Levels: the deepest cut at once, periods and aims until it shows, growth a calm second. */
+    /** Levels: the deepest cut at once, periods and aims until it shows, growth in calm, least let in. */
     private static final double LEVEL_CUT = 0.6;
     private static final double LEVEL_WAIT = 1.5;
     private static final double LEVEL_GROW = 1.15;
@@ -654,12 +654,11 @@
             ceiling = let;
             let = Math.max(LEVEL_LEAST, let * Math.max(LEVEL_CUT, 1 - Math.max(failed, late - OVER_AIMS)));
         } else if (calm) {
-            double grow = let < LEVEL_NEAR * ceiling ? LEVEL_GROW : LEVEL_CREEP;
-            let = Math.min(1, let * Math.pow(grow, set.periodUs() / 1e6));
+            let = Math.min(1, let * (let < LEVEL_NEAR * ceiling ? LEVEL_GROW : LEVEL_CREEP));
         }
         if (over != jammed && (jammed || let >= 1)) {
             over = jammed;
-            to.log(over ? "overload: levels lowered" : "overload over");
+            to.log(over ? "overload" : "overload over");
         }
     }
 
