--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -80,7 +80,7 @@
     /** Under this share of good answers the readiest servers that hold the second share of all carry all. */
     private static final double SHY_GOOD = 0.8;
     /** Under this share no cold server is listed that was not before. */
-    private static final double SHY_NEW = 0.92;
+    private static final double SHY_NEW = 0.96;
     private static final double SHY_REST = 0.3;
     /** Reports further behind than this don't show the fleet as it is: the same as none. */
     private static final double STALE_PERIODS = 2.0;
