--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -78,9 +78,7 @@
      * all crowd onto the few they don't know yet. */
     private static final double COLD_JAM = 2.0;
     /** Under this share of good answers the readiest servers that hold the second share of all carry all. */
-    private static final double SHY_GOOD = 0.8;
-    /** Under this share no cold server is listed that was not before. */
-    private static final double SHY_NEW = 0.96;
+    private static final double SHY_GOOD = 0.94;
     private static final double SHY_REST = 0.3;
     /** Reports further behind than this don't show the fleet as it is: the same as none. */
     private static final double STALE_PERIODS = 2.0;
@@ -700,7 +698,7 @@
         }
         double sum = total(up, s -> s.share);
         up.forEach(s -> s.share /= sum);
-        budget(table);
+        budget();
         table.planned.clear();
         up.stream().filter(s -> s.share > 0).forEach(s -> table.planned.put(s.id, s.share));
         table.past.add(new HashMap<>(table.planned));
@@ -762,13 +760,13 @@
      * Matters when much of the fleet is cold or proxies avoid the warm ones. Could starve cold servers when
      * the load is low, where it costs nothing.
      */
-    private void budget(Table table) {
+    private void budget() {
         List<Server> warm = up.stream().filter(s -> s.ready >= 1).toList();
         double good = total(warm, Server::good);
         boolean stale = lagUs(plannedUs) > STALE_PERIODS * set.periodUs();
         double well = stale || period.good <= 0 ? 0 : period.good / (period.good + period.bad);
-        if (well < SHY_NEW) {
-            shy(well < SHY_GOOD ? Map.of() : table.sent);
+        if (well < SHY_GOOD) {
+            shy();
         }
         if (warm.isEmpty() || good <= 0) {
             return;
@@ -792,13 +790,13 @@
      * server would else bring a cold one all, whatever its weight. It costs what the cold ones could have
      * done meanwhile, most when a fleet is enlarged in a jam.
      */
-    private void shy(Map<Long, Double> stay) {
+    private void shy() {
         List<Server> order = new ArrayList<>(up);
         order.sort(Comparator.comparingDouble(s -> -s.ready));
         double all = total(up, s -> s.ready);
         double held = 0;
         for (Server s : order) {
-            if (s.ready < 1 && held >= SHY_REST * all && !stay.containsKey(s.id)) {
+            if (s.ready < 1 && held >= SHY_REST * all) {
                 s.share = 0;
             }
             held += s.ready;
