--- a/src/main/java/pearusher/Assigner.java
+++ b/src/main/java/pearusher/Assigner.java
@@ -45,15 +45,28 @@
     record Limits(long bareUs, long graceUs, double coldFrom, long rampUs, double fallMultiple, long fallUs,
             long askWithinUs, boolean onlyDrainingBinds) { }
 
-    /** Points taken off for each unit: zone crossings, probes, orders, late failures, wasted work. */
-    record Prices(double crossZone, double probe, double orders, double lateFail, double waste) { }
+    /** Points taken off for each unit. */
+    record Prices(double crossZone, double probe, double orders, double lateFail, double waste,
+            double connection, double handshake, double peer, double list, double handover, double moves) { }
+
+    /** What a result is made of. */
+    record Goal(double whole, double worstWindow, double worstClass, double worstTenant, double nines,
+            double ninesFull, boolean byWork) { }
+
+    /** How a proxy picks a line: at random by weight, in turn by weight, or the less busy of two. */
+    enum Pick { RANDOM, ROTATE, TWO }
+
+    /** How proxies and servers of the site are built; times for slices and exclusive owners among them. */
+    record Site(Pick pick, int standing, double connsLeast, int streamsPerConn, long idleCloseUs,
+            long connectTimeoutUs, double cpuUsPerS, boolean ownZoneJoins, boolean warmKeys,
+            boolean exclusive, long parkUs, long tenureUs, long settleUs) { }
 
     /** All that an instance is told at its start. */
     record Settings(long seed, int zones, List<Grade> grades, int proxies, int me, int instances, int zone,
             Channel channel, Limits limits, Prices prices, Levels levels, int usualRetry, double tryAims,
             long periodUs, double intakePerS, int ejects, int slices, boolean listOnRequest, boolean probes,
             boolean peers, ReportFrom reportFrom, List<Field> reportFields, boolean weightsListed,
-            long tickUs) { }
+            long tickUs, Goal goal, Site site) { }
 
     /** A line of the list; {@code startedUs} 0: long ago. */
     record Entry(long server, int zone, int kind, int cell, State state, double weight, long startedUs) { }
--- a/src/main/java/pearusher/adapter/Info.java
+++ b/src/main/java/pearusher/adapter/Info.java
@@ -34,7 +34,21 @@
                 values.containsKey("rules.askWithinUs") ? whole("rules.askWithinUs") : 0,
                 "true".equals(values.get("rules.softRemoval")));
         Assigner.Prices prices = new Assigner.Prices(real("fees.crossZone"), real("fees.probe"),
-                real("familyInfo.costPerLine"), real("fees.lateFail"), real("fees.waste"));
+                real("familyInfo.costPerLine"), real("fees.lateFail"), real("fees.waste"),
+                optional("fees.connection"), optional("fees.handshake"), optional("fees.peer"),
+                optional("fees.discovery"), optional("familyInfo.handoverFee"), optional("fees.moves"));
+        Assigner.Goal goal = new Assigner.Goal(optional("goal.whole"), optional("goal.worstWindow"),
+                optional("goal.worstClass"), optional("goal.worstTenant"), optional("goal.nines"),
+                optional("goal.ninesFull"), on("countedBy", "work"));
+        Assigner.Pick pick = on("familyInfo.pick", "rotate") ? Assigner.Pick.ROTATE
+                : on("familyInfo.pick", "p2c") ? Assigner.Pick.TWO : Assigner.Pick.RANDOM;
+        Assigner.Site site = new Assigner.Site(pick, (int) optional("familyInfo.bootstrap"),
+                optional("familyInfo.connsLeast"), (int) optional("ceilings.streamsPerConn"),
+                (long) optional("ceilings.idleCloseUs"), (long) optional("ceilings.connectTimeoutUs"),
+                optional("ceilings.cpuUsPerS"), on("familyInfo.zonal", "true"),
+                on("familyInfo.warmKeys", "true"), on("familyInfo.exclusive", "true"),
+                (long) optional("familyInfo.parkUs"), (long) optional("familyInfo.tenureUs"),
+                (long) optional("familyInfo.settleUs"));
         return new Assigner.Settings(seed, list("azs").size(), grades(), (int) whole("familyInfo.proxyCount"),
                 (int) whole("myNumber"), (int) whole("replicasOfMe"), (int) whole("zone"), channel, limits,
                 prices,
@@ -47,7 +61,7 @@
                 flag("ceilings.peers"),
                 pick("report.source", Map.of("inline", Assigner.ReportFrom.ANSWERS,
                         "on_probe", Assigner.ReportFrom.PROBES, "off", Assigner.ReportFrom.NOWHERE)),
-                fields(), !"off".equals(need("weightKind")), whole("tickUs"));
+                fields(), !"off".equals(need("weightKind")), whole("tickUs"), goal, site);
     }
 
     private List<Assigner.Grade> grades() throws WireException {
@@ -82,6 +96,15 @@
         return List.copyOf(out);
     }
 
+    /** A key that no decision needs yet: 0 where it is left out. */
+    private double optional(String key) throws WireException {
+        return values.containsKey(key) ? real(key) : 0;
+    }
+
+    private boolean on(String key, String word) {
+        return word.equals(values.get(key));
+    }
+
     private String need(String key) throws WireException {
         String value = values.get(key);
         if (value == null) {
--- a/src/test/java/pearusher/Fleet.java
+++ b/src/test/java/pearusher/Fleet.java
@@ -40,8 +40,10 @@
         return new Assigner.Settings(7, zones, grades, 8, 0, 1, 0,
                 new Assigner.Channel(3000, 10, 4500, messagesMost, 10 * S, 200_000, 500_000),
                 new Assigner.Limits(3 * S, 2 * S, 0.2, 10 * S, 3, 2 * S, 10 * S, false),
-                new Assigner.Prices(crossZone, 0.02, 0.04, 0.05, 0.05), levels, 1, 1.2, S, 150, 3, slices,
-                true, true, true, Assigner.ReportFrom.PROBES, List.of(Assigner.Field.UTIL), false, 5000);
+                new Assigner.Prices(crossZone, 0.02, 0.04, 0.05, 0.05, 0, 0, 0, 0, 0, 0), levels, 1,
+                1.2, S, 150, 3, slices,
+                true, true, true, Assigner.ReportFrom.PROBES, List.of(Assigner.Field.UTIL), false, 5000,
+                null, null);
     }
 
     static Assigner.Settings settings() {
--- a/src/test/java/pearusher/adapter/CodecTest.java
+++ b/src/test/java/pearusher/adapter/CodecTest.java
@@ -145,6 +145,14 @@
         assertEquals(List.of(Assigner.Field.UTIL, Assigner.Field.INFLIGHT), s.reportFields());
         assertEquals(5900, s.channel().backlog());
         assertEquals(17_000_000, s.limits().rampUs());
+        Assigner.Settings more = Info.settings(7, Wire.SETTINGS + "\nfamilyInfo.pick=p2c\ngoal.whole=0.55"
+                + "\nfamilyInfo.connsLeast=172.0\nfamilyInfo.zonal=true"
+                + "\nfees.handshake=0.04\ncountedBy=work");
+        assertEquals(Assigner.Pick.TWO, more.site().pick());
+        assertEquals(0.55, more.goal().whole());
+        assertTrue(more.site().ownZoneJoins() && more.goal().byWork());
+        assertEquals(172, more.site().connsLeast());
+        assertEquals(0.04, more.prices().handshake());
     }
 
     @Test
