--- a/src/main/java/pearusher/Assigner.java
+++ b/src/main/java/pearusher/Assigner.java
@@ -35,7 +35,7 @@
 
     /** A request class; {@code groupAll}: all servers discard repeats of a keyed request. */
     record Grade(long aimUs, long deadlineUs, double worth, double lateWorth, Effect effect,
-            boolean groupAll, long windowUs, boolean writes, boolean ownZone) { }
+            boolean groupAll, long windowUs, boolean writes, boolean ownZone, double aimStretch) { }
 
     /** The way to the proxies: pace, fixed lines of a message, most lines waiting, and its delays. */
     record Channel(double linesPerS, double head, double backlog, int messagesMost, long messagesOverUs,
--- a/src/main/java/pearusher/adapter/Info.java
+++ b/src/main/java/pearusher/adapter/Info.java
@@ -77,7 +77,7 @@
                             Assigner.Effect.KEYED, "fragile", Assigner.Effect.UNSAFE)),
                     "all".equals(need(at + "group")), whole(at + "windowUs"),
                     k < writes.size() && "true".equals(writes.get(k)),
-                    k < own.size() && "true".equals(own.get(k))));
+                    k < own.size() && "true".equals(own.get(k)), optional(at + "aimStretch")));
         }
         return List.copyOf(out);
     }
--- a/src/test/java/pearusher/Fleet.java
+++ b/src/test/java/pearusher/Fleet.java
@@ -27,7 +27,7 @@
 
     static Assigner.Grade grade(Assigner.Effect effect, double worth) {
         boolean writes = effect == Assigner.Effect.UNSAFE;
-        return new Assigner.Grade(S, 3 * S, worth, 0.2, effect, false, 5 * S, writes, false);
+        return new Assigner.Grade(S, 3 * S, worth, 0.2, effect, false, 5 * S, writes, false, 0);
     }
 
     static Assigner.Settings settings(Assigner.Levels levels, List<Assigner.Grade> grades, int zones,
