--- a/src/main/java/pearusher/adapter/Loop.java
+++ b/src/main/java/pearusher/adapter/Loop.java
@@ -12,6 +12,9 @@
 import java.util.TreeSet;
 import java.util.function.BiFunction;
 import pearusher.Assigner;
+import pearusher.settings.Paths;
+import pearusher.settings.SettingsException;
+import pearusher.settings.SettingsReader;
 
 /** Reads batches, hands each instance its events, writes one reply a batch. It decides nothing. */
 public final class Loop {
@@ -115,7 +118,12 @@
         switch (code) {
             case 1 -> {
                 long seed = in.u64();
-                Assigner.Settings settings = Info.settings(seed, in.text());
+                Assigner.Settings settings;
+                try {
+                    settings = SettingsReader.read(seed, Paths.lines(in.text()));
+                } catch (SettingsException e) {
+                    throw new WireException(e.getMessage());
+                }
                 try {
                     instances.put(id, maker.apply(settings, reply));
                 } catch (RuntimeException e) {
--- a/src/main/java/pearusher/cli/Main.java
+++ b/src/main/java/pearusher/cli/Main.java
@@ -8,14 +8,18 @@
 import pearusher.Rules;
 import pearusher.adapter.Loop;
 import pearusher.adapter.WireException;
+import pearusher.serve.Serve;
 
-/** The command line: {@code pearusher adapter}. */
+/** The command line: {@code pearusher adapter} for the simulator, {@code pearusher serve} for sockets. */
 public final class Main {
     private Main() { }
 
     public static void main(String[] args) {
+        if (args.length == 1 && "serve".equals(args[0])) {
+            System.exit(Serve.run(System.getenv(), Rules::new));
+        }
         if (args.length != 1 || !"adapter".equals(args[0])) {
-            System.err.println("usage: java -jar pearusher.jar adapter");
+            System.err.println("usage: java -jar pearusher.jar adapter|serve");
             System.exit(2);
         }
         int status = 0;
--- /dev/null
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -0,0 +1,310 @@
+package pearusher.serve;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.tinylog.Logger;
+import pearusher.Assigner;
+
+/**
+ * The only place where the server side, the client side and the module meet. It owns the module, its clock
+ * and its timers, and the one thread on which the module runs: events wait in a queue, those of one tick make
+ * a turn, close is called once a turn, and the turn's orders go out. It must never do input or output itself,
+ * decide anything, nor go on after the module failed.
+ */
+final class Exchange implements Assigner.Orders {
+    /** Reports that may wait; more are dropped and counted, so that a flood can't fill the memory. */
+    private static final int MOST_REPORTS = 20_000;
+    private static final Pattern SERVER = Pattern.compile("\\bserver ([0-9a-f]+)\\b");
+
+    /** A proxy's stream, on the server side. Calls come from the decision thread and must not block. */
+    interface Stream {
+        void send(byte[] message);
+
+        /** A newer stream of the same proxy took its place. */
+        void replaced();
+    }
+
+    /** The client side. */
+    interface Calls {
+        void watch(boolean on, long since);
+
+        void fetch();
+
+        void probe(long server, String hostPort);
+    }
+
+    /** The way to other assigners; peer -1: all. */
+    interface Mail {
+        void tell(int peer, byte[] body);
+    }
+
+    private record Timer(long due, long order, long token) { }
+
+    private final Config config;
+    private final LongSupplier clock;
+    private final Consumer<Throwable> failed;
+    private final BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker;
+    private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+    private final AtomicInteger reports = new AtomicInteger();
+    private final AtomicInteger dropped = new AtomicInteger();
+
+    // All below belongs to the decision thread.
+    private final Map<String, Long> ids = new HashMap<>();
+    private final List<String> servers = new ArrayList<>();
+    private final Map<Long, String> addresses = new HashMap<>();
+    private final Map<Integer, Stream> streams = new HashMap<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> a.due() != b.due()
+            ? Long.compare(a.due(), b.due()) : Long.compare(a.order(), b.order()));
+    private final Tables tables;
+    private Assigner module;
+    private Calls calls;
+    private Mail mail;
+    private long now;
+    private long timersMade;
+    private long generation;
+
+    Exchange(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker,
+            LongSupplier clock, Consumer<Throwable> failed) {
+        this.config = config;
+        this.clock = clock;
+        this.failed = failed;
+        this.maker = maker;
+        tables = new Tables(config.names().classes(), id -> servers.get((int) id));
+    }
+
+    /** Microseconds of Unix time, read once and carried on by a clock that never runs back. */
+    static LongSupplier unixClock() {
+        long base = System.currentTimeMillis() * 1000;
+        long start = System.nanoTime();
+        return () -> base + (System.nanoTime() - start) / 1000;
+    }
+
+    void connect(Calls client, Mail peers) {
+        calls = client;
+        mail = peers;
+    }
+
+    /** Starts the module with the list last known and takes its first turn, on the caller's thread. */
+    void begin() {
+        now = clock.getAsLong();
+        module = maker.apply(config.settings(), this);
+        list(Assigner.ListForm.CACHED, config.known());
+        close();
+    }
+
+    /** The decision thread's work, until it is interrupted or the module fails. */
+    void run() {
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                turn();
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException | Error failure) {
+            failed.accept(failure);
+        }
+    }
+
+    /** Waits for an event or a timer; what comes within the settings' tick of the first is one turn. */
+    private void turn() throws InterruptedException {
+        long wait = timers.isEmpty() ? Long.MAX_VALUE : timers.peek().due() - clock.getAsLong();
+        Runnable first = wait <= 0 ? queue.poll() : queue.poll(wait, TimeUnit.MICROSECONDS);
+        if (first != null) {
+            TimeUnit.MICROSECONDS.sleep(config.settings().tickUs());
+        }
+        now = Math.max(now, clock.getAsLong());
+        while (first != null) {
+            first.run();
+            first = queue.poll();
+        }
+        while (!timers.isEmpty() && timers.peek().due() <= now) {
+            module.timer(now, timers.poll().token());
+        }
+        close();
+    }
+
+    private void close() {
+        module.close(now);
+        tables.turn((proxy, message) -> streams.get(proxy).send(message));
+        int lost = dropped.getAndSet(0);
+        if (lost > 0) {
+            Logger.warn("reports dropped: {} came while {} waited", lost, MOST_REPORTS);
+        }
+    }
+
+    // Events, from any thread.
+
+    void joined(Stream stream, Message.Joined what) {
+        queue.add(() -> {
+            Stream old = streams.put(what.proxy(), stream);
+            if (old != null) {
+                module.left(now, what.proxy());
+                old.replaced();
+            }
+            tables.joined(what.proxy());
+            module.joined(now, what.proxy(), what.zone(), what.perS(), what.fresh());
+        });
+    }
+
+    /** A stream ended; one whose proxy has joined anew since then unseats nobody. */
+    void ended(Stream stream, int proxy) {
+        queue.add(() -> {
+            if (streams.remove(proxy, stream)) {
+                tables.left(proxy);
+                module.left(now, proxy);
+            }
+        });
+    }
+
+    void applied(Stream stream, Message.Applied what) {
+        queue.add(() -> {
+            if (streams.get(what.proxy()) == stream) {
+                module.applied(now, what.proxy(), what.mark(), what.tookUs());
+            }
+        });
+    }
+
+    private void report(Runnable what) {
+        if (reports.incrementAndGet() > MOST_REPORTS) {
+            reports.decrementAndGet();
+            dropped.incrementAndGet();
+            return;
+        }
+        queue.add(() -> {
+            reports.decrementAndGet();
+            what.run();
+        });
+    }
+
+    /** A report on a server that no list has named yet is dropped: the proxies' list may be newer. */
+    void heard(Message.Heard what) {
+        report(() -> {
+            Long server = ids.get(what.server());
+            if (server != null) {
+                module.heard(now, server, what.zone(), what.tries(), what.failed(), what.spanUs(),
+                        what.meanUs(), what.load());
+            }
+        });
+    }
+
+    void usage(Message.Usage what) {
+        report(() -> module.usage(now, what.proxy(), what.grade(), what.tries(), what.failed(),
+                what.spanUs()));
+    }
+
+    /** What discovery says, on a watch or as the whole list; older than what is held: passed over. */
+    void listed(Message.Listing what, boolean restarted) {
+        queue.add(() -> {
+            boolean old = what.generation() < generation && !(what.whole() && restarted);
+            Message.Listing use = old ? new Message.Listing(generation, false, List.of()) : what;
+            list(use.whole() ? Assigner.ListForm.WHOLE : Assigner.ListForm.CHANGES, use);
+        });
+    }
+
+    /** A call to discovery, or the watch, ended without what it was for. */
+    void listFailed() {
+        queue.add(() -> module.listed(now, Assigner.ListForm.FAILED, List.of()));
+    }
+
+    void probed(long server, Ending ending, long tookUs, float[] load) {
+        queue.add(() -> module.probed(now, server, ending.probe(), tookUs, load));
+    }
+
+    void told(int peer, byte[] body) {
+        report(() -> module.told(now, peer, body));
+    }
+
+    private void list(Assigner.ListForm form, Message.Listing what) {
+        generation = what.generation();
+        List<Assigner.Entry> entries = new ArrayList<>();
+        for (Message.Instance one : what.instances()) {
+            long id = ids.computeIfAbsent(one.server(), name -> {
+                servers.add(name);
+                return servers.size() - 1L;
+            });
+            addresses.put(id, one.hostPort());
+            entries.add(new Assigner.Entry(id, one.zone(), one.kind(), one.cell(), one.state(), one.weight(),
+                    one.startedUs()));
+        }
+        module.listed(now, form, entries);
+    }
+
+    // Orders, from the module.
+
+    @Override
+    public void line(int table, long server, double weight) {
+        tables.line(table, server, weight);
+    }
+
+    @Override
+    public void clear(int table) {
+        tables.clear(table);
+    }
+
+    @Override
+    public void withdraw(long server, boolean out) {
+        tables.withdraw(server, out);
+    }
+
+    @Override
+    public void bind(int proxy, int table, int classBits) {
+        tables.bind(proxy, table, classBits);
+    }
+
+    @Override
+    public void admit(int table, int classBits, double level, int retry) {
+        tables.admit(table, classBits, level, retry);
+    }
+
+    @Override
+    public void mark(int number, boolean toAll) {
+        tables.mark(number, toAll);
+    }
+
+    @Override
+    public void watch(boolean on) {
+        calls.watch(on, generation);
+    }
+
+    @Override
+    public void fetch() {
+        calls.fetch();
+    }
+
+    @Override
+    public void probe(long server) {
+        calls.probe(server, addresses.get(server));
+    }
+
+    @Override
+    public void timer(long delayUs, long token) {
+        timers.add(new Timer(now + Math.max(0, delayUs), timersMade++, token));
+    }
+
+    @Override
+    public void tell(long peer, byte[] body) {
+        mail.tell((int) peer, body);
+    }
+
+    /** The module names servers by number, the log as discovery does. */
+    @Override
+    public void log(String text) {
+        Matcher at = SERVER.matcher(text);
+        Logger.info(at.replaceAll(m -> {
+            long id = Long.parseLong(m.group(1), 16);
+            String name = id < servers.size() ? servers.get((int) id) : m.group(1);
+            return Matcher.quoteReplacement("server " + name);
+        }));
+    }
+}
--- /dev/null
+++ b/src/main/java/pearusher/serve/Message.java
@@ -0,0 +1,275 @@
+package pearusher.serve;
+
+import java.io.ByteArrayOutputStream;
+import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.StringJoiner;
+import pearusher.Assigner;
+import pearusher.settings.Paths;
+import pearusher.settings.SettingsException;
+
+/**
+ * The messages of the sockets as small typed records: what proxies and collectors say, discovery's lists,
+ * load reports and updates. Each is read from words or text once and written once. It must never keep state
+ * or act: names of servers stay names here, zones and classes become positions in the settings.
+ */
+sealed interface Message {
+    record Ping() implements Message { }
+
+    record Collector(int zone) implements Message { }
+
+    record Joined(int proxy, int zone, double perS, boolean fresh) implements Message { }
+
+    record Applied(int proxy, int mark, long tookUs) implements Message { }
+
+    record Heard(int zone, String server, long tries, long failed, long meanUs, long spanUs, float[] load)
+            implements Message { }
+
+    record Usage(int proxy, int grade, long tries, long failed, long spanUs) implements Message { }
+
+    /** A message that can't be used; the text names the value. */
+    final class Fault extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Fault(String text) {
+            super(text);
+        }
+    }
+
+    /** Reads one message; names and values that it doesn't need are passed over. */
+    static Message read(List<String> words, Config.Names names, int proxies) throws Fault {
+        if (words.size() % 2 == 0) {
+            throw new Fault("an odd number of fields after '" + words.get(0) + "'");
+        }
+        Fields at = new Fields(words, names, proxies);
+        return switch (words.get(0)) {
+            case "ping" -> new Ping();
+            case "collector" -> new Collector(at.zone());
+            case "joined" -> new Joined(at.proxy(), at.zone(), at.real("weight"), at.flag("fresh"));
+            case "applied" -> new Applied(at.proxy(), (int) at.whole("mark"), at.us("took_ms"));
+            case "usage" -> new Usage(at.proxy(), at.grade(), at.whole("tries"), at.whole("failed"),
+                    at.us("span_ms"));
+            case "heard" -> {
+                long tries = at.whole("tries");
+                long failed = at.whole("failed");
+                boolean good = failed < tries;
+                yield new Heard(at.zone(), at.need("server"), tries, failed, good ? at.us("mean_ms") : 0,
+                        at.us("span_ms"), load(at.values.getOrDefault("load", ""), ":", names));
+            }
+            default -> throw new Fault("an unknown kind '" + brief(words.get(0)) + "'");
+        };
+    }
+
+    private static String brief(String text) {
+        return text.length() > 40 ? text.substring(0, 40) + "..." : text;
+    }
+
+    /**
+     * A load report's values in the order of the settings: 0 for one that is missing, none at all for no
+     * report; unknown ones are passed over.
+     */
+    static float[] load(String text, String pair, Config.Names names) {
+        Map<String, Float> values = new HashMap<>();
+        for (String part : text.split(",")) {
+            String[] sides = part.trim().split(pair, 2);
+            try {
+                float value = sides.length == 2 ? Float.parseFloat(sides[1].trim()) : Float.NaN;
+                if (Float.isFinite(value)) {
+                    values.put(sides[0].trim(), value);
+                }
+            } catch (NumberFormatException e) {
+                values.remove(sides[0].trim());
+            }
+        }
+        if (values.isEmpty()) {
+            return new float[0];
+        }
+        float[] out = new float[names.load().size()];
+        for (int k = 0; k < out.length; k++) {
+            out[k] = values.getOrDefault(names.load().get(k), 0f);
+        }
+        return out;
+    }
+
+    /** A probe's body: the word TEXT, then pairs. */
+    static float[] probeLoad(byte[] body, Config.Names names) {
+        String text = new String(body, StandardCharsets.UTF_8).trim();
+        return load(text.startsWith("TEXT") ? text.substring(4) : "", "=", names);
+    }
+
+    /** The values of a message by name; of a name that stands twice the last counts. */
+    final class Fields {
+        private final Map<String, String> values = new HashMap<>();
+        private final Config.Names names;
+        private final int proxies;
+
+        private Fields(List<String> words, Config.Names names, int proxies) {
+            this.names = names;
+            this.proxies = proxies;
+            for (int k = 1; k < words.size(); k += 2) {
+                values.put(words.get(k), words.get(k + 1));
+            }
+        }
+
+        private String need(String key) throws Fault {
+            String value = values.get(key);
+            if (value == null) {
+                throw new Fault("the value " + key + " is missing");
+            }
+            return value;
+        }
+
+        private double real(String key) throws Fault {
+            String value = need(key);
+            try {
+                double out = Double.parseDouble(value);
+                if (out >= 0 && out < 1e15) {
+                    return out;
+                }
+            } catch (NumberFormatException e) {
+                throw new Fault("the value " + key + " is unreadable: '" + brief(value) + "'");
+            }
+            throw new Fault("the value " + key + " is out of range: '" + brief(value) + "'");
+        }
+
+        private long whole(String key) throws Fault {
+            double out = real(key);
+            if (out != Math.rint(out)) {
+                throw new Fault("the value " + key + " is not a whole number: '" + brief(need(key)) + "'");
+            }
+            return (long) out;
+        }
+
+        private long us(String key) throws Fault {
+            return Math.round(real(key) * 1000);
+        }
+
+        private boolean flag(String key) throws Fault {
+            String value = need(key);
+            if (!value.equals("1") && !value.equals("0")) {
+                throw new Fault("the value " + key + " is neither 0 nor 1: '" + brief(value) + "'");
+            }
+            return value.equals("1");
+        }
+
+        private int proxy() throws Fault {
+            long out = whole("proxy");
+            if (out >= proxies) {
+                throw new Fault("the proxy " + out + " is not known");
+            }
+            return (int) out;
+        }
+
+        private int place(String key, Map<String, Integer> of) throws Fault {
+            Integer out = of.get(need(key));
+            if (out == null) {
+                throw new Fault("the " + key + " '" + brief(need(key)) + "' is not known");
+            }
+            return out;
+        }
+
+        private int zone() throws Fault {
+            return place("zone", names.zones());
+        }
+
+        private int grade() throws Fault {
+            return place("class", names.classAt());
+        }
+    }
+
+    /**
+     * A line of discovery's list; a zone or kind is its position in the settings, address null if unusable.
+     */
+    record Instance(String server, String hostPort, int zone, int kind, int cell, Assigner.State state,
+            double weight, long startedUs) { }
+
+    /** Discovery's answer: the whole list, or what changed. */
+    record Listing(long generation, boolean whole, List<Instance> instances) {
+
+        private static final Map<String, Assigner.State> STATES = Map.of("in_service", Assigner.State.READY,
+                "terminating", Assigner.State.DRAINING, "terminated", Assigner.State.GONE);
+
+        static Listing of(byte[] json, Config.Names names) throws SettingsException {
+            return of(Paths.json(json), names);
+        }
+
+        /**
+         * Lines in a zone that the settings don't have are passed over; a lifecycle that is not known is one
+         * that wants nothing new.
+         */
+        static Listing of(Paths at, Config.Names names) throws SettingsException {
+            List<Instance> out = new ArrayList<>();
+            int count = at.between("instances.count", 0, 1 << 20, 0);
+            for (int k = 0; k < count; k++) {
+                Paths one = at;
+                String path = "instances." + k + ".";
+                Integer zone = names.zones().get(one.need(path + "zone"));
+                if (zone == null) {
+                    continue;
+                }
+                String kind = one.text(path + "machineType");
+                out.add(new Instance(one.need(path + "instanceId"), one.text(path + "hostPort"), zone,
+                        names.kinds().getOrDefault(kind, names.kinds().size()),
+                        (int) one.optional(path + "cell"),
+                        STATES.getOrDefault(one.need(path + "lifecycle"), Assigner.State.DRAINING),
+                        one.has(path + "weight") ? one.real(path + "weight") : 1,
+                        Math.round(one.optional(path + "startedAtMs") * 1000)));
+            }
+            return new Listing(at.whole("generation"), at.flag("reset"), out);
+        }
+    }
+
+    /** A way of trying again and a level, which come as a pair. */
+    record Level(double level, int retry) { }
+
+    /** A part of an update; null or empty where a field is left out. Classes null: all of them. */
+    record Part(List<String> classes, boolean whole, Map<String, Double> lines, Level level, List<String> out,
+            List<String> back, int ticket) { }
+
+    /** The bytes of one message to a proxy. */
+    static byte[] write(List<Part> parts) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(256);
+        for (int k = 0; k < parts.size(); k++) {
+            Part part = parts.get(k);
+            List<String> words = new ArrayList<>(List.of("update"));
+            if (part.classes() != null) {
+                words.addAll(List.of("classes", String.join("+", part.classes())));
+            }
+            if (part.whole()) {
+                words.addAll(List.of("whole", "1"));
+            }
+            if (!part.lines().isEmpty()) {
+                StringJoiner lines = new StringJoiner(",");
+                part.lines().forEach((server, weight) -> lines.add(server + ":" + plain(weight)));
+                words.addAll(List.of("lines", lines.toString()));
+            }
+            if (part.level() != null) {
+                words.addAll(List.of("level", plain(part.level().level()), "retry",
+                        Integer.toString(part.level().retry())));
+            }
+            if (!part.out().isEmpty()) {
+                words.addAll(List.of("out", String.join(",", part.out())));
+            }
+            if (!part.back().isEmpty()) {
+                words.addAll(List.of("back", String.join(",", part.back())));
+            }
+            if (part.ticket() >= 0) {
+                words.addAll(List.of("ticket", Integer.toString(part.ticket())));
+            }
+            if (k < parts.size() - 1) {
+                words.addAll(List.of("more", "1"));
+            }
+            out.writeBytes(Resp.write(words));
+        }
+        return out.toByteArray();
+    }
+
+    /** A figure with the simulator's precision and without an exponent. */
+    static String plain(double value) {
+        return new BigDecimal(Float.toString((float) value)).toPlainString();
+    }
+}
--- /dev/null
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -0,0 +1,372 @@
+package pearusher.serve;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpGenerator;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MetaData;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.tinylog.Logger;
+import pearusher.Assigner;
+import pearusher.settings.SettingsException;
+
+/**
+ * The client side: calls to discovery (a watch, the whole list) and probes of servers, each on a connection
+ * of its own. Every call ends exactly once, with one {@link Ending}, and says so to the exchange. It must
+ * never call again by itself: when to ask is the module's.
+ */
+final class Outbound extends SelectorManager implements Exchange.Calls {
+    private static final int MOST_LIST = 8 << 20;
+    private static final int MOST_LOAD = 4 << 10;
+
+    /** What a call is for. */
+    private enum Purpose { WATCH, FETCH, PROBE }
+
+    private final Config config;
+    private final Exchange exchange;
+    private final Scheduler scheduler;
+    /** The watch that counts; an earlier one's end tells nothing. */
+    private volatile Call watch;
+    private volatile boolean lost;
+
+    Outbound(Config config, Exchange exchange, Executor executor, Scheduler scheduler) {
+        super(executor, scheduler, 1);
+        this.config = config;
+        this.exchange = exchange;
+        this.scheduler = scheduler;
+        setConnectTimeout(config.timeouts().connectMs());
+    }
+
+    @Override
+    public void watch(boolean on, long since) {
+        Call old = watch;
+        Call next = on ? new Call(Purpose.WATCH, -1, "/catalog/members?follow=1&since=" + since) : null;
+        watch = next;
+        if (old != null) {
+            old.finish(Ending.DROPPED);
+        }
+        if (next != null) {
+            next.dial(config.discovery());
+        }
+    }
+
+    @Override
+    public void fetch() {
+        new Call(Purpose.FETCH, -1, "/catalog/members").dial(config.discovery());
+    }
+
+    @Override
+    public void probe(long server, String hostPort) {
+        boolean loads = config.settings().reportFrom() != Assigner.ReportFrom.NOWHERE;
+        Call call = new Call(Purpose.PROBE, server, loads ? "/_load" : "/ping");
+        InetSocketAddress address = hostPort == null ? null : Config.address(hostPort);
+        if (address == null) {
+            call.finish(Ending.UNREACHABLE);
+        } else {
+            call.dial(address);
+        }
+    }
+
+    @Override
+    protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        return new SocketChannelEndPoint((SocketChannel) channel, selector, key, scheduler);
+    }
+
+    @Override
+    public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object call) {
+        return ((Call) call).connected(endPoint);
+    }
+
+    @Override
+    protected void connectionFailed(SelectableChannel channel, Throwable failure, Object call) {
+        super.connectionFailed(channel, failure, call);
+        ((Call) call).finish(Ending.ofConnect(failure));
+    }
+
+    /** One request and its answer. */
+    private final class Call implements HttpParser.ResponseHandler {
+        private final Purpose purpose;
+        private final long server;
+        private final String path;
+        private final long startNs = System.nanoTime();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final HttpParser parser = new HttpParser(this);
+        private Scheduler.Task limit;
+        private String host;
+        private SocketChannel channel;
+        private int status;
+        private Message.Listing list;
+        private float[] load = new float[0];
+        private boolean up;
+        private boolean finished;
+
+        Call(Purpose purpose, long server, String path) {
+            this.purpose = purpose;
+            this.server = server;
+            this.path = path;
+        }
+
+        void dial(InetSocketAddress to) {
+            host = to.getAddress().getHostAddress() + ":" + to.getPort();
+            limit = scheduler.schedule(() -> finish(Ending.SILENT), (long) config.timeouts().connectMs()
+                    + config.timeouts().answerMs(), TimeUnit.MILLISECONDS);
+            getExecutor().execute(() -> {
+                try {
+                    SocketChannel made = SocketChannel.open();
+                    synchronized (this) {
+                        channel = made;
+                    }
+                    made.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                    made.configureBlocking(false);
+                    if (made.connect(to)) {
+                        accept(made, this);
+                    } else {
+                        Outbound.this.connect(made, this);
+                    }
+                } catch (IOException e) {
+                    finish(Ending.ofConnect(e));
+                }
+            });
+        }
+
+        Connection connected(EndPoint endPoint) {
+            return new Wire(endPoint);
+        }
+
+        /** The call's connection, once it is up. */
+        private final class Wire extends AbstractConnection {
+            Wire(EndPoint endPoint) {
+                super(endPoint, Outbound.this.getExecutor());
+            }
+
+            @Override
+            public void onOpen() {
+                super.onOpen();
+                try {
+                    getEndPoint().write(Callback.from(() -> { }, e -> finish(Ending.ofFailure(e))),
+                            request());
+                    fillInterested();
+                } catch (IOException e) {
+                    finish(Ending.ofFailure(e));
+                }
+            }
+
+            @Override
+            public void onFillable() {
+                ByteBuffer buffer = ByteBuffer.allocate(16 << 10);
+                try {
+                    while (!done()) {
+                        buffer.clear().flip();
+                        int n = getEndPoint().fill(buffer);
+                        if (n < 0) {
+                            parser.atEOF();
+                            parser.parseNext(buffer);
+                            finish(Ending.CLOSED);
+                            return;
+                        }
+                        if (n == 0) {
+                            fillInterested();
+                            return;
+                        }
+                        while (buffer.hasRemaining() && !done()) {
+                            parser.parseNext(buffer);
+                        }
+                    }
+                } catch (IOException e) {
+                    finish(Ending.RESET);
+                } catch (RuntimeException e) {
+                    finish(Ending.GARBAGE);
+                }
+            }
+
+            @Override
+            protected boolean onReadTimeout(TimeoutException timeout) {
+                finish(Ending.SILENT);
+                return false;
+            }
+
+            @Override
+            public void onFillInterestedFailed(Throwable cause) {
+                if (!(cause instanceof TimeoutException)) {
+                    finish(Ending.ofFailure(cause));
+                }
+                super.onFillInterestedFailed(cause);
+            }
+
+            @Override
+            public void onClose(Throwable cause) {
+                super.onClose(cause);
+                finish(cause == null ? Ending.CLOSED : Ending.ofFailure(cause));
+            }
+        }
+
+        private ByteBuffer request() throws IOException {
+            HttpFields fields = HttpFields.build().put(HttpHeader.HOST, host)
+                    .put(HttpHeader.ACCEPT, purpose == Purpose.PROBE ? "text/plain" : "application/json");
+            MetaData.Request request = new MetaData.Request("GET", HttpURI.from("http://" + host + path),
+                    HttpVersion.HTTP_1_1, fields, 0);
+            HttpGenerator generator = new HttpGenerator();
+            ByteBuffer header = ByteBuffer.allocate(2048);
+            header.flip();
+            generator.generateRequest(request, header, null, null, true);
+            return header;
+        }
+
+        private synchronized boolean done() {
+            return finished;
+        }
+
+        /** Ends the call, once: what it brought, or how it failed, goes to the exchange. */
+        void finish(Ending ending) {
+            synchronized (this) {
+                if (finished) {
+                    return;
+                }
+                finished = true;
+            }
+            if (limit != null) {
+                limit.cancel();
+            }
+            SocketChannel open;
+            synchronized (this) {
+                open = channel;
+            }
+            if (open != null) {
+                getExecutor().execute(() -> {
+                    try {
+                        open.close();
+                    } catch (IOException e) {
+                        Logger.debug(e);
+                    }
+                });
+            }
+            if (purpose == Purpose.PROBE) {
+                exchange.probed(server, ending, (System.nanoTime() - startNs) / 1000, load);
+            } else if (ending != Ending.DROPPED && (purpose == Purpose.FETCH || watch == this)) {
+                if (ending.answered() && list != null) {
+                    exchange.listed(list, true);
+                } else {
+                    if (!lost) {
+                        Logger.warn("discovery lost: {} ended: {}", purpose, ending);
+                    }
+                    lost = true;
+                    exchange.listFailed();
+                }
+            }
+        }
+
+        // The parser's answers.
+
+        @Override
+        public void startResponse(HttpVersion version, int code, String reason) {
+            status = code;
+        }
+
+        @Override
+        public void parsedHeader(HttpField field) { }
+
+        @Override
+        public boolean headerComplete() {
+            if (purpose == Purpose.WATCH && status == 200) {
+                limit.cancel();
+            }
+            return false;
+        }
+
+        @Override
+        public boolean content(ByteBuffer part) {
+            int most = purpose == Purpose.PROBE ? MOST_LOAD : MOST_LIST;
+            while (part.hasRemaining() && !done()) {
+                byte b = part.get();
+                if (purpose == Purpose.WATCH && status == 200 && b == '\n') {
+                    line();
+                } else if (body.size() >= most) {
+                    finish(Ending.TOO_LONG);
+                } else {
+                    body.write(b);
+                }
+            }
+            return false;
+        }
+
+        /** A line of a watch; an empty one is a beat. */
+        private void line() {
+            byte[] text = body.toByteArray();
+            body.reset();
+            try {
+                boolean beat = text.length == 0 || text.length == 1 && text[0] == '\r';
+                if (beat && up) {
+                    return;
+                }
+                if (!beat) {
+                    exchange.listed(Message.Listing.of(text, config.names()), !up);
+                }
+                up |= !beat;
+                if (lost && watch == this) {
+                    lost = false;
+                    Logger.info("discovery back");
+                }
+            } catch (SettingsException e) {
+                Logger.warn("discovery: a line can't be read: {}", e.getMessage());
+                finish(Ending.GARBAGE);
+            }
+        }
+
+        @Override
+        public boolean contentComplete() {
+            return false;
+        }
+
+        @Override
+        public boolean messageComplete() {
+            Ending ending = Ending.ofStatus(status);
+            if (ending.answered()) {
+                try {
+                    if (purpose == Purpose.FETCH) {
+                        list = Message.Listing.of(body.toByteArray(), config.names());
+                    } else if (purpose == Purpose.PROBE) {
+                        load = Message.probeLoad(body.toByteArray(), config.names());
+                    } else {
+                        ending = Ending.CLOSED;
+                    }
+                } catch (SettingsException e) {
+                    ending = Ending.GARBAGE;
+                }
+            }
+            finish(ending);
+            return true;
+        }
+
+        @Override
+        public void earlyEOF() {
+            finish(Ending.CLOSED);
+        }
+
+        @Override
+        public void badMessage(HttpException failure) {
+            finish(Ending.GARBAGE);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pearusher/serve/Serve.java
@@ -0,0 +1,102 @@
+package pearusher.serve;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiFunction;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.tinylog.Logger;
+import pearusher.Assigner;
+import pearusher.settings.SettingsException;
+
+/**
+ * The life of one assigner: it reads the configuration, puts the parts together, starts and stops them, and
+ * says how the process ends. It must never do any part's work.
+ */
+public final class Serve {
+    private static final int THREADS = 8;
+
+    private final Exchange exchange;
+    private final QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
+    private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timers", true);
+    private final Streams streams;
+    private final Outbound outbound;
+    private final Peers peers;
+    private final Thread decisions;
+
+    Serve(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker,
+            java.util.function.Consumer<Throwable> failed) {
+        threads.setName("io");
+        threads.setDaemon(true);
+        exchange = new Exchange(config, maker, Exchange.unixClock(), failed);
+        streams = new Streams(config, exchange, threads, scheduler);
+        outbound = new Outbound(config, exchange, threads, scheduler);
+        peers = new Peers(config, exchange, threads);
+        exchange.connect(outbound, peers);
+        decisions = new Thread(exchange::run, "decisions");
+        decisions.setDaemon(true);
+    }
+
+    /** Listens, hands the module what is known, and only then answers pings. */
+    InetSocketAddress start() throws Exception {
+        threads.start();
+        scheduler.start();
+        InetSocketAddress at = streams.listen();
+        peers.listen();
+        outbound.start();
+        exchange.begin();
+        decisions.start();
+        streams.ready();
+        return at;
+    }
+
+    void stop() throws Exception {
+        decisions.interrupt();
+        streams.stop();
+        peers.close();
+        outbound.stop();
+        scheduler.stop();
+        threads.stop();
+    }
+
+    /** The process: 0 after SIGTERM, 1 where it fails, 2 for a faulty configuration. */
+    public static int run(Map<String, String> environment,
+            BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker) {
+        Config config;
+        try {
+            config = Config.read(environment);
+        } catch (SettingsException e) {
+            System.err.println("pearusher: " + e.getMessage());
+            return 2;
+        }
+        AtomicBoolean failing = new AtomicBoolean();
+        Logger.info("start: {} on {}, discovery {}, {} servers known", config.name(), text(config.listen()),
+                text(config.discovery()), config.known().instances().size());
+        Serve serve = new Serve(config, maker, failure -> {
+            failing.set(true);
+            Logger.error(failure, "the module failed, ending with status 1");
+            Runtime.getRuntime().halt(1);
+        });
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (!failing.get()) {
+                Logger.info("shutdown: {} ends on SIGTERM", config.name());
+                Runtime.getRuntime().halt(0);
+            }
+        }));
+        try {
+            serve.start();
+            Logger.info("ready: {}", config.name());
+            Thread.currentThread().join();
+        } catch (Exception e) {
+            failing.set(true);
+            Logger.error("can't start on {}: {}", text(config.listen()), e.getMessage());
+        }
+        failing.set(true);
+        return 1;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- a/src/test/java/pearusher/adapter/CodecTest.java
+++ b/src/test/java/pearusher/adapter/CodecTest.java
@@ -16,6 +16,9 @@
 import org.junit.jupiter.api.Test;
 import pearusher.Assigner;
 import pearusher.Rules;
+import pearusher.settings.Paths;
+import pearusher.settings.SettingsException;
+import pearusher.settings.SettingsReader;
 
 class CodecTest {
     private static final long A = 0x0a124a071b5bL;
@@ -23,6 +26,10 @@
 
     private final List<String> heard = new ArrayList<>();
 
+    private static Assigner.Settings settings(String text) throws SettingsException {
+        return SettingsReader.read(7, Paths.lines(text));
+    }
+
     /** An assigner that writes down what it is told and orders nothing. */
     private Assigner recorder() {
         return (Assigner) Proxy.newProxyInstance(CodecTest.class.getClassLoader(),
@@ -134,7 +141,7 @@
 
     @Test
     void settingsReachTheModuleInItsOwnTerms() throws Exception {
-        Assigner.Settings s = Info.settings(7, Wire.SETTINGS);
+        Assigner.Settings s = settings(Wire.SETTINGS);
         assertEquals(2, s.zones());
         assertEquals(2, s.grades().size());
         assertEquals(Assigner.Effect.UNSAFE, s.grades().get(1).effect());
@@ -145,7 +152,7 @@
         assertEquals(List.of(Assigner.Field.UTIL, Assigner.Field.INFLIGHT), s.reportFields());
         assertEquals(5900, s.channel().backlog());
         assertEquals(17_000_000, s.limits().rampUs());
-        Assigner.Settings more = Info.settings(7, Wire.SETTINGS + "\nfamilyInfo.pick=p2c\ngoal.whole=0.55"
+        Assigner.Settings more = settings(Wire.SETTINGS + "\nfamilyInfo.pick=p2c\ngoal.whole=0.55"
                 + "\nfamilyInfo.connsLeast=172.0\nfamilyInfo.zonal=true"
                 + "\nfees.handshake=0.04\ncountedBy=work");
         assertEquals(Assigner.Pick.TWO, more.site().pick());
@@ -163,12 +170,13 @@
                     || key.equals("some.newKey") || key.equals("rules.askWithinUs");
             String without = Wire.SETTINGS.replace(line + "\n", "").replace("\n" + line, "");
             if (!optional) {
-                WireException e = assertThrows(WireException.class, () -> Info.settings(7, without), key);
+                SettingsException e = assertThrows(SettingsException.class,
+                        () -> settings(without), key);
                 assertTrue(e.getMessage().contains(key), e.getMessage());
             }
         }
-        WireException e = assertThrows(WireException.class,
-                () -> Info.settings(7, Wire.SETTINGS.replace("transitUs=294000", "transitUs=soon")));
+        SettingsException e = assertThrows(SettingsException.class,
+                () -> settings(Wire.SETTINGS.replace("transitUs=294000", "transitUs=soon")));
         assertTrue(e.getMessage().contains("familyInfo.transitUs"), e.getMessage());
     }
 
--- a/src/test/java/pearusher/adapter/ProcessTest.java
+++ b/src/test/java/pearusher/adapter/ProcessTest.java
@@ -22,7 +22,7 @@
 
     private End run(byte[] in, String... args) throws Exception {
         List<String> command = Stream.concat(Stream.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-cp", Path.of("target", "classes").toString(), "pearusher.cli.Main"),
+                .toString(), "-cp", System.getProperty("java.class.path"), "pearusher.cli.Main"),
                 Stream.of(args)).toList();
         Path out = dir.resolve("out");
         Path err = dir.resolve("err");
