--- a/src/main/java/pearusher/serve/Exchange.java
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -124,9 +124,10 @@
             TimeUnit.MICROSECONDS.sleep(config.settings().tickUs());
         }
         now = Math.max(now, clock.getAsLong());
-        while (first != null) {
+        // A flood makes several turns, so that timers and orders are not held up by it.
+        for (int k = 1; first != null; k++) {
             first.run();
-            first = queue.poll();
+            first = k < MOST_REPORTS ? queue.poll() : null;
         }
         while (!timers.isEmpty() && timers.peek().due() <= now) {
             module.timer(now, timers.poll().token());
@@ -145,8 +146,17 @@
 
     // Events, from any thread.
 
+    /** Work for the decision thread, at the next turn. */
+    void event(Runnable what) {
+        queue.add(what);
+    }
+
+    int waiting() {
+        return queue.size();
+    }
+
     void joined(Stream stream, Message.Joined what) {
-        queue.add(() -> {
+        event(() -> {
             Stream old = streams.put(what.proxy(), stream);
             if (old != null) {
                 module.left(now, what.proxy());
@@ -159,7 +169,7 @@
 
     /** A stream ended; one whose proxy has joined anew since then unseats nobody. */
     void ended(Stream stream, int proxy) {
-        queue.add(() -> {
+        event(() -> {
             if (streams.remove(proxy, stream)) {
                 tables.left(proxy);
                 module.left(now, proxy);
@@ -168,7 +178,7 @@
     }
 
     void applied(Stream stream, Message.Applied what) {
-        queue.add(() -> {
+        event(() -> {
             if (streams.get(what.proxy()) == stream) {
                 module.applied(now, what.proxy(), what.mark(), what.tookUs());
             }
@@ -181,7 +191,7 @@
             dropped.incrementAndGet();
             return;
         }
-        queue.add(() -> {
+        event(() -> {
             reports.decrementAndGet();
             what.run();
         });
@@ -205,7 +215,7 @@
 
     /** What discovery says, on a watch or as the whole list; older than what is held: passed over. */
     void listed(Message.Listing what, boolean restarted) {
-        queue.add(() -> {
+        event(() -> {
             boolean old = what.generation() < generation && !(what.whole() && restarted);
             Message.Listing use = old ? new Message.Listing(generation, false, List.of()) : what;
             list(use.whole() ? Assigner.ListForm.WHOLE : Assigner.ListForm.CHANGES, use);
@@ -214,11 +224,11 @@
 
     /** A call to discovery, or the watch, ended without what it was for. */
     void listFailed() {
-        queue.add(() -> module.listed(now, Assigner.ListForm.FAILED, List.of()));
+        event(() -> module.listed(now, Assigner.ListForm.FAILED, List.of()));
     }
 
     void probed(long server, Ending ending, long tookUs, float[] load) {
-        queue.add(() -> module.probed(now, server, ending.probe(), tookUs, load));
+        event(() -> module.probed(now, server, ending.probe(), tookUs, load));
     }
 
     void told(int peer, byte[] body) {
--- a/src/main/java/pearusher/serve/Outbound.java
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -116,6 +116,7 @@
         private Scheduler.Task limit;
         private String host;
         private SocketChannel channel;
+        private EndPoint endPoint;
         private int status;
         private Message.Listing list;
         private float[] load = new float[0];
@@ -151,8 +152,9 @@
             });
         }
 
-        Connection connected(EndPoint endPoint) {
-            return new Wire(endPoint);
+        Connection connected(EndPoint made) {
+            endPoint = made;
+            return new Wire(made);
         }
 
         /** The call's connection, once it is up. */
@@ -290,7 +292,9 @@
         @Override
         public boolean headerComplete() {
             if (purpose == Purpose.WATCH && status == 200) {
+                // From here on it may last; its beats are what must not stay out.
                 limit.cancel();
+                endPoint.setIdleTimeout(config.timeouts().silentMs());
             }
             return false;
         }
--- a/src/main/java/pearusher/serve/Resp.java
+++ b/src/main/java/pearusher/serve/Resp.java
@@ -43,9 +43,15 @@
         private int length = -1;
         private int taken;
         private int counted;
+        /** Of the line end that follows a bulk string. */
+        private int tail;
+        private boolean closed;
 
         /** The next whole message, or null once the bytes are used up. */
-        List<String> next(ByteBuffer from) throws Fault {
+        synchronized List<String> next(ByteBuffer from) throws Fault {
+            if (closed) {
+                from.position(from.limit());
+            }
             while (from.hasRemaining()) {
                 boolean line = length < 0;
                 if (line ? !line(from) : !bulk(from)) {
@@ -143,11 +149,10 @@
             return whole;
         }
 
-        private int tail;
-
         /** Gives back what an ended connection held. */
         @Override
-        public void close() {
+        public synchronized void close() {
+            closed = true;
             UNFINISHED.addAndGet(-counted);
             counted = 0;
         }
--- a/src/main/java/pearusher/serve/Serve.java
+++ b/src/main/java/pearusher/serve/Serve.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.tinylog.Logger;
@@ -25,11 +27,11 @@
     private final Peers peers;
     private final Thread decisions;
 
-    Serve(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker,
-            java.util.function.Consumer<Throwable> failed) {
+    Serve(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker, LongSupplier clock,
+            Consumer<Throwable> failed) {
         threads.setName("io");
         threads.setDaemon(true);
-        exchange = new Exchange(config, maker, Exchange.unixClock(), failed);
+        exchange = new Exchange(config, maker, clock, failed);
         streams = new Streams(config, exchange, threads, scheduler);
         outbound = new Outbound(config, exchange, threads, scheduler);
         peers = new Peers(config, exchange, threads);
@@ -51,6 +53,14 @@
         return at;
     }
 
+    Exchange exchange() {
+        return exchange;
+    }
+
+    Peers peers() {
+        return peers;
+    }
+
     void stop() throws Exception {
         decisions.interrupt();
         streams.stop();
@@ -73,7 +83,7 @@
         AtomicBoolean failing = new AtomicBoolean();
         Logger.info("start: {} on {}, discovery {}, {} servers known", config.name(), text(config.listen()),
                 text(config.discovery()), config.known().instances().size());
-        Serve serve = new Serve(config, maker, failure -> {
+        Serve serve = new Serve(config, maker, Exchange.unixClock(), failure -> {
             failing.set(true);
             Logger.error(failure, "the module failed, ending with status 1");
             Runtime.getRuntime().halt(1);
--- a/src/main/java/pearusher/serve/Streams.java
+++ b/src/main/java/pearusher/serve/Streams.java
@@ -40,7 +40,10 @@
     private final Config config;
     private final Exchange exchange;
     private final Scheduler scheduler;
+    /** Guards all that the links share, itself included. */
     private final Set<Link> strangers = new LinkedHashSet<>();
+    /** Who waits for a pong until this assigner is ready. */
+    private final Set<Link> pinging = new LinkedHashSet<>();
     private final ThreadLocal<ByteBuffer> buffers = ThreadLocal.withInitial(
             () -> ByteBuffer.allocate(16 << 10));
     private ServerSocketChannel server;
@@ -70,7 +73,8 @@
         List<Link> waiting;
         synchronized (strangers) {
             ready = true;
-            waiting = strangers.stream().filter(l -> l.pings > 0).toList();
+            waiting = List.copyOf(pinging);
+            pinging.clear();
         }
         waiting.forEach(Link::pong);
     }
@@ -122,6 +126,7 @@
         synchronized (strangers) {
             links--;
             strangers.remove(link);
+            pinging.remove(link);
         }
     }
 
@@ -207,6 +212,9 @@
                 end(Ending.GARBAGE, e.getMessage());
             } catch (IOException e) {
                 end(Ending.RESET, null);
+            } catch (RuntimeException e) {
+                Logger.error(e, "a fault of our own while reading");
+                end(Ending.GARBAGE, "it could not be read");
             }
         }
 
@@ -216,6 +224,9 @@
                 synchronized (strangers) {
                     pings++;
                     now = ready;
+                    if (!now) {
+                        pinging.add(this);
+                    }
                 }
                 if (now) {
                     pong();
--- a/src/main/java/pearusher/settings/Paths.java
+++ b/src/main/java/pearusher/settings/Paths.java
@@ -16,8 +16,6 @@
  * under .0, .1 and so on. It knows no key's meaning; every fault names the path.
  */
 public final class Paths {
-    private static final JsonFactory JSON = new JsonFactory();
-
     private final String what;
     private final Map<String, String> values = new HashMap<>();
 
@@ -40,7 +38,7 @@
     /** The configuration's form. */
     public static Paths json(byte[] text) throws SettingsException {
         Paths out = new Paths("configuration: the key ");
-        try (JsonParser in = JSON.createParser(text)) {
+        try (JsonParser in = new JsonFactory().createParser(text)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new SettingsException("configuration: not a JSON object");
             }
--- /dev/null
+++ b/src/test/java/pearusher/serve/ConfigTest.java
@@ -0,0 +1,161 @@
+package pearusher.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import pearusher.Assigner;
+import pearusher.settings.Paths;
+import pearusher.settings.SettingsException;
+import pearusher.settings.SettingsReader;
+
+class ConfigTest {
+    @TempDir
+    Path dir;
+
+    private String fault(Example example) {
+        return assertThrows(SettingsException.class, () -> example.read(dir)).getMessage();
+    }
+
+    @Test
+    void theExampleIsRead() throws Exception {
+        Config c = new Example().read(dir);
+        assertEquals("n0", c.name());
+        assertEquals(1024, c.sockets());
+        assertEquals(0x8c1f30d27a5be964L, c.settings().seed());
+        assertEquals(List.of("lookup", "order"), c.names().classes());
+        assertEquals(Map.of("north", 0, "south", 1), c.names().zones());
+        assertEquals(List.of("util", "inflight"), c.names().load());
+        assertEquals(Assigner.Effect.UNSAFE, c.settings().grades().get(1).effect());
+        assertTrue(c.settings().grades().get(1).writes());
+        assertEquals(5900, c.settings().channel().backlog());
+        assertEquals(41, c.known().generation());
+        assertEquals(new Message.Instance("s-0badcafe", "127.0.0.1:9002", 1, 0, 1, Assigner.State.READY, 1,
+                0),
+                c.known().instances().get(1));
+    }
+
+    /** Nested JSON and the simulator's lines are the same settings. */
+    @Test
+    void jsonAndLinesAgree() throws Exception {
+        StringBuilder lines = new StringBuilder();
+        Paths json = Paths.json("{\"a\":{\"b\":[1,2],\"c\":[{\"d\":true},{\"d\":false}],\"e\":[],\"f\":null}}"
+                .getBytes());
+        for (String key : List.of("a.b", "a.c.count", "a.c.0.d", "a.c.1.d", "a.e")) {
+            lines.append(key).append('=').append(json.need(key)).append('\n');
+        }
+        assertEquals("a.b=1,2\na.c.count=2\na.c.0.d=true\na.c.1.d=false\na.e=\n", lines.toString());
+        assertTrue(!json.has("a.f") && !json.has("a.b.count"));
+        Paths given = Paths.lines(lines.toString());
+        assertEquals(List.of("1", "2"), given.list("a.b"));
+        assertEquals(List.of(), given.list("a.e"));
+    }
+
+    @Test
+    void unknownKeysArePassedOver() throws Exception {
+        Config plain = new Example().read(dir);
+        Config more = new Example().with("\"seed\"", "\"later\": {\"x\": [1, {\"y\": null}]}, \"seed\"")
+                .with("\"zonal\": false", "\"zonal\": false, \"neu\": 3").read(dir);
+        assertEquals(plain.settings(), more.settings());
+    }
+
+    @Test
+    void whatMayBeLeftOutHasDefaults() throws Exception {
+        Config c = new Example().with("\"timeouts\"", "\"unused\"").with("\"known\"", "\"unknown\"")
+                .with("\"limits\"", "\"unlimited\"").read(dir);
+        assertEquals(new Config.Timeouts(1000, 3000, 5000, 20_000), c.timeouts());
+        assertEquals(1024, c.sockets());
+        assertEquals(List.of(), c.known().instances());
+        assertNull(new Example().with("\"peers\": true", "\"peers\": false").read(dir).peerListen());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "EDGE_CONFIG"})
+    void aMissingVariableIsNamed(String variable) throws Exception {
+        Map<String, String> environment = new HashMap<>(new Example().write(dir));
+        environment.remove(variable);
+        assertEquals("the variable " + variable + " is missing",
+                assertThrows(SettingsException.class, () -> Config.read(environment)).getMessage());
+    }
+
+    @Test
+    void anUnreadableFileIsNamed() throws Exception {
+        Map<String, String> environment = new Example().write(dir);
+        Files.delete(Path.of(environment.get("EDGE_CONFIG")));
+        assertTrue(assertThrows(SettingsException.class, () -> Config.read(environment)).getMessage()
+                .startsWith("EDGE_CONFIG: "));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[]", "{", "{\"a\":1}}", "{\"a\" 1}", "nonsense"})
+    void malformedJsonIsSaid(String text) throws Exception {
+        Map<String, String> environment = new Example().write(dir);
+        Files.writeString(Path.of(environment.get("EDGE_CONFIG")), text);
+        assertTrue(assertThrows(SettingsException.class, () -> Config.read(environment)).getMessage()
+                .startsWith("configuration: "));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "\"seed\": \"8c1f30d27a5be964\"|\"seed\": \"later\"|seed",
+        "\"seed\"|\"sead\"|seed",
+        "\"settings\"|\"setting\"|settings",
+        "\"tickUs\": 5000,||settings.tickUs",
+        "\"tickUs\": 5000|\"tickUs\": \"soon\"|settings.tickUs",
+        "\"tickUs\": 5000|\"tickUs\": 5000000|settings.tickUs",
+        "\"zone\": 0|\"zone\": 2|settings.zone",
+        "\"proxyCount\": 8|\"proxyCount\": 0|settings.familyInfo.proxyCount",
+        "\"reportEveryUs\": 1000000|\"reportEveryUs\": 0|settings.familyInfo.reportEveryUs",
+        "\"repeat\": \"fragile\"|\"repeat\": \"maybe\"|settings.grades.1.repeat",
+        "\"name\": \"order\"|\"name\": \"lookup\"|settings.grades",
+        "\"channelRate\": 3900.0|\"channelRate\": 0|settings.familyInfo.channelRate",
+        "\"sockets\": 1024|\"sockets\": 3|limits.sockets",
+        "\"sockets\": 1024|\"sockets\": \"many\"|limits.sockets",
+        "\"silent_ms\": 5000|\"silent_ms\": 0|timeouts.silent_ms",
+        "\"replicasOfMe\": 1|\"replicasOfMe\": 2|peers",
+        "\"myNumber\": 0|\"myNumber\": 1|settings.myNumber",
+        "\"peers_all\": \"127.0.0.1:7947\"|\"peers_all\": \"a.example:7947\"|peers_all",
+        "\"lifecycle\": \"in_service\"|\"life\": \"in_service\"|known.instances.0.lifecycle"})
+    void aFaultyKeyIsNamed(String old, String now, String key) throws Exception {
+        Example example = new Example().with(old, now == null ? "" : now);
+        String said = fault(example);
+        assertTrue(said.startsWith("configuration: the key " + key + " "), said);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"EDGE_NAME,name,n1", "EDGE_LISTEN,listen,127.0.0.1:9",
+            "EDGE_DISCOVERY,discovery,127.0.0.1:9"})
+    void aContradictionBetweenVariableAndFileIsSaid(String variable, String key, String value)
+            throws Exception {
+        Map<String, String> environment = new HashMap<>(new Example().write(dir));
+        environment.put(variable, value);
+        String said = assertThrows(SettingsException.class, () -> Config.read(environment)).getMessage();
+        assertTrue(said.startsWith("configuration: the key " + key + " is '") && said.contains(variable),
+                said);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"127.0.0.1", "localhost:80", "127.0.0.1:", "127.0.0.1:99999", "1.2.3:80",
+        "300.0.0.1:80"})
+    void onlyAddressesWithAPortAreAddresses(String text) {
+        assertNull(Config.address(text));
+    }
+
+    @Test
+    void theAdapterReadsTheSameSettings() throws Exception {
+        Paths all = Paths.json(new Example().json().getBytes());
+        assertEquals(new Example().read(dir).settings(),
+                SettingsReader.read(0x8c1f30d27a5be964L, all.below("settings.")));
+    }
+}
--- /dev/null
+++ b/src/test/java/pearusher/serve/RespTest.java
@@ -0,0 +1,110 @@
+package pearusher.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RespTest {
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static List<List<String>> all(Resp.Reader reader, byte[]... pieces) throws Resp.Fault {
+        List<List<String>> out = new ArrayList<>();
+        for (byte[] piece : pieces) {
+            ByteBuffer from = ByteBuffer.wrap(piece);
+            List<String> words;
+            while ((words = reader.next(from)) != null) {
+                out.add(words);
+            }
+            assertEquals(0, from.remaining());
+        }
+        return out;
+    }
+
+    @Test
+    void writesWhatThePageShows() {
+        assertEquals("*2\r\n$4\r\nping\r\n$3\r\né0\r\n",
+                new String(Resp.write(List.of("ping", "é0")), StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void aMessageSplitAtEveryByteIsTheSame() throws Exception {
+        List<String> words = List.of("heard", "zone", "Île", "server", "s-1", "load", "", "tries", "\r\n$3");
+        byte[] two = bytes(new String(Resp.write(words), StandardCharsets.UTF_8)
+                + new String(Resp.write(List.of("ping")), StandardCharsets.UTF_8));
+        for (int cut = 0; cut <= two.length; cut++) {
+            byte[] head = java.util.Arrays.copyOf(two, cut);
+            byte[] tail = java.util.Arrays.copyOfRange(two, cut, two.length);
+            assertEquals(List.of(words, List.of("ping")), all(new Resp.Reader(), head, tail), "cut at "
+                    + cut);
+        }
+        byte[][] single = new byte[two.length][];
+        for (int k = 0; k < two.length; k++) {
+            single[k] = new byte[] {two[k]};
+        }
+        assertEquals(List.of(words, List.of("ping")), all(new Resp.Reader(), single));
+    }
+
+    @Test
+    void severalInOneReadComeOneByOne() throws Exception {
+        byte[] ping = Resp.write(List.of("ping"));
+        byte[] many = new byte[ping.length * 50];
+        for (int k = 0; k < 50; k++) {
+            System.arraycopy(ping, 0, many, k * ping.length, ping.length);
+        }
+        assertEquals(50, all(new Resp.Reader(), many).size());
+    }
+
+    /** 1 MiB fits, its headers counted; one byte more does not. */
+    @Test
+    void theLimitIsOneMebibyte() throws Exception {
+        int head = Resp.write(List.of("x".repeat(1_000_000))).length - 1_000_000;
+        String fits = "x".repeat(Resp.MOST - head);
+        assertEquals(List.of(List.of(fits)), all(new Resp.Reader(), Resp.write(List.of(fits))));
+        byte[] over = Resp.write(List.of(fits + "x"));
+        Resp.Fault e = assertThrows(Resp.Fault.class, () -> all(new Resp.Reader(), over));
+        assertEquals(Ending.TOO_LONG, e.ending());
+    }
+
+    @ParameterizedTest
+    @CsvSource(quoteCharacter = '`', value = {"GET / HTTP/1.1@,GARBAGE", "*-1@,GARBAGE", "*0@,GARBAGE",
+        "*x@,GARBAGE", "*1@+ping@,GARBAGE", "*1@$-1@,GARBAGE", "*1@$4@pingXX,GARBAGE",
+                "*1@$1048577@,TOO_LONG",
+        "*1048577@,TOO_LONG", "*00000000000000000000001@,GARBAGE", "PING@,GARBAGE"})
+    void whatIsNotRespEndsTheConnection(String text, Ending ending) {
+        byte[] raw = bytes(text.replace("@", "\r\n"));
+        assertEquals(ending, assertThrows(Resp.Fault.class, () -> all(new Resp.Reader(), raw)).ending());
+    }
+
+    /**
+     * Guards the memory against many connections that each announce much and never finish: what all hold
+     * unfinished is bounded, and an ended one gives its part back.
+     */
+    @Test
+    void unfinishedMessagesAreBoundedTogether() throws Exception {
+        byte[] part = bytes("*1\r\n$1000000\r\n" + "x".repeat(900_000));
+        List<Resp.Reader> readers = new ArrayList<>();
+        Resp.Fault fault = null;
+        for (int k = 0; k < 12 && fault == null; k++) {
+            Resp.Reader one = new Resp.Reader();
+            readers.add(one);
+            try {
+                assertNull(one.next(ByteBuffer.wrap(part)));
+            } catch (Resp.Fault e) {
+                fault = e;
+            }
+        }
+        assertEquals(Ending.TOO_LONG, fault.ending());
+        readers.forEach(Resp.Reader::close);
+        assertNull(new Resp.Reader().next(ByteBuffer.wrap(bytes("*1\r\n"))));
+    }
+}
