--- a/src/main/java/pearusher/serve/Exchange.java
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -117,12 +117,13 @@
     }
 
     /** Waits for an event or a timer; what comes within the settings' tick of the first is one turn. */
-    private void turn() throws InterruptedException {
+    void turn() throws InterruptedException {
         long wait = timers.isEmpty() ? Long.MAX_VALUE : timers.peek().due() - clock.getAsLong();
         Runnable first = wait <= 0 ? queue.poll() : queue.poll(wait, TimeUnit.MICROSECONDS);
         if (first != null) {
             TimeUnit.MICROSECONDS.sleep(config.settings().tickUs());
         }
+        boolean acted = first != null;
         now = Math.max(now, clock.getAsLong());
         // A flood makes several turns, so that timers and orders are not held up by it.
         for (int k = 1; first != null; k++) {
@@ -131,8 +132,11 @@
         }
         while (!timers.isEmpty() && timers.peek().due() <= now) {
             module.timer(now, timers.poll().token());
+            acted = true;
+        }
+        if (acted) {
+            close();
         }
-        close();
     }
 
     private void close() {
--- a/src/main/java/pearusher/serve/Outbound.java
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -227,7 +227,7 @@
         private ByteBuffer request() throws IOException {
             HttpFields fields = HttpFields.build().put(HttpHeader.HOST, host)
                     .put(HttpHeader.ACCEPT, purpose == Purpose.PROBE ? "text/plain" : "application/json");
-            MetaData.Request request = new MetaData.Request("GET", HttpURI.from("http://" + host + path),
+            MetaData.Request request = new MetaData.Request("GET", HttpURI.from(path),
                     HttpVersion.HTTP_1_1, fields, 0);
             HttpGenerator generator = new HttpGenerator();
             ByteBuffer header = ByteBuffer.allocate(2048);
--- a/src/main/java/pearusher/serve/Streams.java
+++ b/src/main/java/pearusher/serve/Streams.java
@@ -49,6 +49,7 @@
     private ServerSocketChannel server;
     private int links;
     private boolean ready;
+    private volatile boolean stopping;
 
     Streams(Config config, Exchange exchange, Executor executor, Scheduler scheduler) {
         super(executor, scheduler, 1);
@@ -84,6 +85,7 @@
         if (server != null) {
             server.close();
         }
+        stopping = true;
         super.doStop();
     }
 
@@ -318,7 +320,7 @@
             }
             if (why != null) {
                 Logger.warn("connection of {} ended: {}: {}", who(), how, why);
-            } else if (proxies && how != Ending.CLOSED) {
+            } else if (proxies && how != Ending.CLOSED && how != Ending.DROPPED) {
                 Logger.info("connection of {} ended: {}", who(), how);
             }
             getEndPoint().close();
@@ -331,7 +333,7 @@
         @Override
         public void onClose(Throwable cause) {
             super.onClose(cause);
-            end(cause == null ? Ending.CLOSED : Ending.ofFailure(cause), null);
+            end(stopping ? Ending.DROPPED : cause == null ? Ending.CLOSED : Ending.ofFailure(cause), null);
             synchronized (unsent) {
                 unsent.clear();
             }
--- a/src/test/java/pearusher/adapter/Wire.java
+++ b/src/test/java/pearusher/adapter/Wire.java
@@ -5,7 +5,7 @@
 import java.util.HexFormat;
 
 /** Bytes written by hand: hex records put into frames. */
-final class Wire {
+public final class Wire {
     static final String SETTINGS = String.join("\n", "azs=vannes,lorient", "ceilings.peers=true",
             "ceilings.probes=true", "discovery=on_request", "familyInfo.baseMode=1",
             "familyInfo.channelRate=3900.0", "familyInfo.classOwnZone=false,true",
@@ -31,21 +31,21 @@
 
     private Wire() { }
 
-    static byte[] hex(String text) {
+    public static byte[] hex(String text) {
         return HexFormat.of().parseHex(text.replaceAll("\\s", ""));
     }
 
-    static String u32(long v) {
+    public static String u32(long v) {
         return HexFormat.of().formatHex(new byte[] {(byte) v, (byte) (v >> 8), (byte) (v >> 16),
                 (byte) (v >> 24)});
     }
 
-    static String u64(long v) {
+    public static String u64(long v) {
         return u32(v) + u32(v >> 32);
     }
 
     /** A frame of records in hex at a clock. */
-    static byte[] frame(long clock, String... records) {
+    public static byte[] frame(long clock, String... records) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         byte[] body = hex(String.join("", records));
         out.writeBytes(hex(u32(body.length) + u32(records.length) + u64(clock)));
--- /dev/null
+++ b/src/test/java/pearusher/serve/ServeProcessTest.java
@@ -0,0 +1,113 @@
+package pearusher.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pearusher.Assigner;
+
+/** The real process: its starts and ends, as the page for on-call staff tells them. */
+class ServeProcessTest {
+    @TempDir
+    Path dir;
+    private final List<Process> started = new ArrayList<>();
+
+    /** Runs serve with a module that fails, as no real one does on order. */
+    public static final class Failing {
+        private Failing() { }
+
+        public static void main(String[] args) {
+            System.exit(Serve.run(System.getenv(), (settings, orders) -> {
+                orders.timer(0, 1);
+                return (Assigner) Proxy.newProxyInstance(Failing.class.getClassLoader(),
+                        new Class<?>[] {Assigner.class}, (self, method, of) -> {
+                            if (method.getName().equals("timer")) {
+                                throw new IllegalStateException("no such weight");
+                            }
+                            return null;
+                        });
+            }));
+        }
+    }
+
+    @AfterEach
+    void end() {
+        started.forEach(Process::destroyForcibly);
+    }
+
+    private Process start(Map<String, String> environment, String name, String... command)
+            throws IOException {
+        List<String> all = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-cp", System.getProperty("java.class.path")));
+        all.addAll(List.of(command));
+        ProcessBuilder how = new ProcessBuilder(all).redirectErrorStream(true)
+                .redirectOutput(dir.resolve(name).toFile());
+        how.environment().keySet().removeIf(k -> k.startsWith("EDGE_"));
+        how.environment().putAll(environment);
+        Process out = how.start();
+        started.add(out);
+        return out;
+    }
+
+    private String log(String name) {
+        try {
+            return Files.readString(dir.resolve(name), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private int status(Process p) throws Exception {
+        assertTrue(p.waitFor(20, TimeUnit.SECONDS), "it doesn't end");
+        return p.exitValue();
+    }
+
+    @Test
+    void sigtermEndsCleanlyAndASecondStartOnThePortFails() throws Exception {
+        int port;
+        try (java.net.ServerSocket free = new java.net.ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Map<String, String> environment = new Example().listen("127.0.0.1:" + port).write(dir);
+        Process first = start(environment, "first", "pearusher.cli.Main", "serve");
+        Stand.until("ready", () -> log("first").contains("INFO ready: n0"));
+        assertTrue(log("first").contains("INFO start: n0 on 127.0.0.1:" + port + ", discovery 127.0.0.1:1, "
+                + "2 servers known"), log("first"));
+        Stand.until("discovery lost",
+                () -> log("first").contains("WARN discovery lost: WATCH ended: REFUSED"));
+        Stand.until("list lost", () -> log("first").contains("INFO list lost"));
+        Process second = start(environment, "second", "pearusher.cli.Main", "serve");
+        assertEquals(1, status(second));
+        assertTrue(log("second").contains("ERROR can't start on 127.0.0.1:" + port + ": "), log("second"));
+        first.destroy();
+        assertEquals(0, status(first));
+        assertTrue(log("first").endsWith("INFO shutdown: n0 ends on SIGTERM\n"), log("first"));
+    }
+
+    @Test
+    void aFaultyConfigurationIsOneLineAndStatusTwo() throws Exception {
+        Process p = start(new Example().with("\"tickUs\": 5000", "\"tickUs\": true").write(dir), "log",
+                "pearusher.cli.Main", "serve");
+        assertEquals(2, status(p));
+        assertEquals("pearusher: configuration: the key settings.tickUs is unreadable: 'true'\n", log("log"));
+    }
+
+    @Test
+    void aFailureOfTheModuleEndsTheProcessWithItsPlace() throws Exception {
+        Process p = start(new Example().write(dir), "log", Failing.class.getName());
+        assertEquals(1, status(p));
+        assertTrue(log("log").contains("ERROR the module failed, ending with status 1"), log("log"));
+        assertTrue(log("log").contains("no such weight") && log("log").contains("at "), log("log"));
+    }
+}
