A turn waits until a burst of events pauses for a tick, four ticks at most

Exchange.turn took a turn 5 ms after the first event, so the module's pass, which runs with the first reports, saw a part of them in about every third period and the rest a second later. The simulator hands them over in one batch.

--- a/src/main/java/pearusher/serve/Exchange.java
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -22,9 +22,11 @@
  * a turn, close is called once a turn, and the turn's orders go out. It must never do input or output itself,
  * decide anything, nor go on after the module failed.
  */
-final class Exchange implements Assigner.Orders {
+class Exchange implements Assigner.Orders {
     /** Reports that may wait; more are dropped and counted, so that a flood can't fill the memory. */
     private static final int MOST_REPORTS = 20_000;
+    /** Most ticks of the settings for which a turn waits for more of a burst. */
+    private static final int MOST_TICKS = 4;
     private static final Pattern SERVER = Pattern.compile("\\bserver ([0-9a-f]+)\\b");
 
     /** A proxy's stream, on the server side. Calls come from the decision thread and must not block. */
@@ -116,12 +118,12 @@
         }
     }
 
-    /** Waits for an event or a timer; what comes within the settings' tick of the first is one turn. */
+    /** Waits for an event or a timer; what comes without a tick's pause is one turn. */
     void turn() throws InterruptedException {
         long wait = timers.isEmpty() ? Long.MAX_VALUE : timers.peek().due() - clock.getAsLong();
         Runnable first = wait <= 0 ? queue.poll() : queue.poll(wait, TimeUnit.MICROSECONDS);
         if (first != null) {
-            TimeUnit.MICROSECONDS.sleep(config.settings().tickUs());
+            gather();
         }
         boolean acted = first != null;
         now = Math.max(now, clock.getAsLong());
@@ -139,6 +141,23 @@
         }
     }
 
+    /**
+     * Lets the rest of a burst come: the reports of one instant reach the simulator's module in one batch,
+     * here by several connections within some milliseconds. Guards against a pass that sees a part of a
+     * period's reports and keeps the others for the next. While events keep coming it ends after a few ticks.
+     */
+    private void gather() throws InterruptedException {
+        int before = -1;
+        for (int tick = 0; tick < MOST_TICKS && queue.size() != before; tick++) {
+            before = queue.size();
+            pause();
+        }
+    }
+
+    void pause() throws InterruptedException {
+        TimeUnit.MICROSECONDS.sleep(config.settings().tickUs());
+    }
+
     private void close() {
         module.close(now);
         tables.turn((proxy, message) -> streams.get(proxy).send(message));
--- a/src/test/java/pearusher/serve/ServeTest.java
+++ b/src/test/java/pearusher/serve/ServeTest.java
@@ -503,6 +503,30 @@
 
     // The module.
 
+    /** The reports of one instant come by several connections: a pass must not see a part of them. */
+    @Test
+    void aBurstIsOneTurn() throws Exception {
+        AtomicInteger pauses = new AtomicInteger();
+        Config config = example.read(dir);
+        Exchange exchange = new Exchange(config, module, () -> 1_000_000, failure::set) {
+            @Override
+            void pause() {
+                int k = pauses.incrementAndGet();
+                if (k < 3) {
+                    usage(new Message.Usage(3, 0, k, 0, 1_000_000));
+                }
+            }
+        };
+        AtomicInteger turns = new AtomicInteger();
+        module.on(exchange);
+        exchange.begin();
+        module.order(o -> turns.set(module.told.size()));
+        exchange.turn();
+        assertEquals(3, turns.get(), "the list and both reports, before the one close: " + module.told);
+        assertEquals(3, pauses.get());
+        assertEquals(0, exchange.waiting());
+    }
+
     @Test
     void timersComeInTheirOrder() throws Exception {
         start();
