Code is warmed up on invented periods before the first ping is answered

WarmUp plays up to 60 periods, 0.4 s at most, through an exchange and a module of its own: RESP, messages, turns, tables, updates; nothing of it reaches a socket or the log.

Kept because a pong is to mean ready.

--- a/src/main/java/pearusher/serve/Serve.java
+++ b/src/main/java/pearusher/serve/Serve.java
@@ -83,11 +83,12 @@
         AtomicBoolean failing = new AtomicBoolean();
         Logger.info("start: {} on {}, discovery {}, {} servers known", config.name(), text(config.listen()),
                 text(config.discovery()), config.known().instances().size());
-        Serve serve = new Serve(config, maker, Exchange.unixClock(), failure -> {
+        Consumer<Throwable> failed = failure -> {
             failing.set(true);
             Logger.error(failure, "the module failed, ending with status 1");
             Runtime.getRuntime().halt(1);
-        });
+        };
+        Serve serve = new Serve(config, maker, Exchange.unixClock(), failed);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             if (!failing.get()) {
                 Logger.info("shutdown: {} ends on SIGTERM", config.name());
@@ -95,9 +96,12 @@
             }
         }));
         try {
+            WarmUp.run(config, maker);
             serve.start();
             Logger.info("ready: {}", config.name());
             Thread.currentThread().join();
+        } catch (RuntimeException e) {
+            failed.accept(e);
         } catch (Exception e) {
             failing.set(true);
             Logger.error("can't start on {}: {}", text(config.listen()), e.getMessage());
--- a/src/test/java/pearusher/serve/ServeProcessTest.java
+++ b/src/test/java/pearusher/serve/ServeProcessTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -28,11 +29,13 @@
         private Failing() { }
 
         public static void main(String[] args) {
+            AtomicInteger made = new AtomicInteger();
             System.exit(Serve.run(System.getenv(), (settings, orders) -> {
+                boolean warmingUp = made.incrementAndGet() == 1;
                 orders.timer(0, 1);
                 return (Assigner) Proxy.newProxyInstance(Failing.class.getClassLoader(),
                         new Class<?>[] {Assigner.class}, (self, method, of) -> {
-                            if (method.getName().equals("timer")) {
+                            if (method.getName().equals("timer") && !warmingUp) {
                                 throw new IllegalStateException("no such weight");
                             }
                             return null;
