--- a/src/main/java/pearusher/serve/Config.java
+++ b/src/main/java/pearusher/serve/Config.java
@@ -62,7 +62,7 @@
         } catch (IOException | RuntimeException e) {
             throw new SettingsException("EDGE_CONFIG: " + file + " can't be read");
         }
-        Paths at = Paths.json(text);
+        Paths at = Paths.json("configuration", text);
         String name = same(environment, "EDGE_NAME", at, "name");
         InetSocketAddress listen = address("listen", same(environment, "EDGE_LISTEN", at, "listen"));
         InetSocketAddress discovery = address("discovery", same(environment, "EDGE_DISCOVERY", at,
--- a/src/main/java/pearusher/serve/Exchange.java
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -59,7 +60,7 @@
     private final BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker;
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final AtomicInteger reports = new AtomicInteger();
-    private final AtomicInteger dropped = new AtomicInteger();
+    private final AtomicLong dropped = new AtomicLong();
 
     // All below belongs to the decision thread.
     private final Map<String, Long> ids = new HashMap<>();
@@ -102,6 +103,10 @@
         now = clock.getAsLong();
         module = maker.apply(config.settings(), this);
         list(Assigner.ListForm.CACHED, config.known());
+        if (!config.settings().listOnRequest()) {
+            // Where changes come unasked the module doesn't ask for them.
+            calls.watch(true, generation);
+        }
         close();
     }
 
@@ -161,10 +166,6 @@
     private void close() {
         module.close(now);
         tables.turn((proxy, message) -> streams.get(proxy).send(message));
-        int lost = dropped.getAndSet(0);
-        if (lost > 0) {
-            Logger.warn("reports dropped: {} came while {} waited", lost, MOST_REPORTS);
-        }
     }
 
     // Events, from any thread.
@@ -174,6 +175,10 @@
         queue.add(what);
     }
 
+    long dropped() {
+        return dropped.get();
+    }
+
     int waiting() {
         return queue.size();
     }
@@ -211,7 +216,10 @@
     private void report(Runnable what) {
         if (reports.incrementAndGet() > MOST_REPORTS) {
             reports.decrementAndGet();
-            dropped.incrementAndGet();
+            long so = dropped.incrementAndGet();
+            if (Long.bitCount(so) == 1) {
+                Logger.warn("reports dropped: {} so far, while {} waited", so, MOST_REPORTS);
+            }
             return;
         }
         event(() -> {
--- a/src/main/java/pearusher/serve/Message.java
+++ b/src/main/java/pearusher/serve/Message.java
@@ -194,7 +194,7 @@
                 "terminating", Assigner.State.DRAINING, "terminated", Assigner.State.GONE);
 
         static Listing of(byte[] json, Config.Names names) throws SettingsException {
-            return of(Paths.json(json), names);
+            return of(Paths.json("list", json), names);
         }
 
         /**
--- a/src/main/java/pearusher/serve/Outbound.java
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -25,7 +25,6 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.tinylog.Logger;
@@ -91,7 +90,7 @@
 
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-        return new SocketChannelEndPoint((SocketChannel) channel, selector, key, scheduler);
+        return new PlainEndPoint(channel, selector, key, scheduler);
     }
 
     @Override
--- a/src/main/java/pearusher/serve/Streams.java
+++ b/src/main/java/pearusher/serve/Streams.java
@@ -19,7 +19,6 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.IteratingCallback;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -98,7 +97,7 @@
 
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-        EndPoint out = new SocketChannelEndPoint((SocketChannel) channel, selector, key, scheduler);
+        EndPoint out = new PlainEndPoint(channel, selector, key, scheduler);
         out.setIdleTimeout(config.timeouts().strangerMs());
         return out;
     }
--- a/src/main/java/pearusher/settings/Paths.java
+++ b/src/main/java/pearusher/settings/Paths.java
@@ -35,19 +35,19 @@
         return out;
     }
 
-    /** The configuration's form. */
-    public static Paths json(byte[] text) throws SettingsException {
-        Paths out = new Paths("configuration: the key ");
+    /** The configuration's form, and discovery's; faults begin with what the text is. */
+    public static Paths json(String name, byte[] text) throws SettingsException {
+        Paths out = new Paths(name + ": the key ");
         try (JsonParser in = new JsonFactory().createParser(text)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
-                throw new SettingsException("configuration: not a JSON object");
+                throw new SettingsException(name + ": not a JSON object");
             }
             out.object(in, "");
             if (in.nextToken() != null) {
-                throw new SettingsException("configuration: text after the JSON object");
+                throw new SettingsException(name + ": text after the JSON object");
             }
         } catch (IOException e) {
-            throw new SettingsException("configuration: malformed JSON: " + e.getMessage().lines().findFirst()
+            throw new SettingsException(name + ": malformed JSON: " + e.getMessage().lines().findFirst()
                     .orElse(""));
         }
         return out;
--- a/src/test/java/pearusher/serve/ConfigTest.java
+++ b/src/test/java/pearusher/serve/ConfigTest.java
@@ -50,7 +50,8 @@
     @Test
     void jsonAndLinesAgree() throws Exception {
         StringBuilder lines = new StringBuilder();
-        Paths json = Paths.json("{\"a\":{\"b\":[1,2],\"c\":[{\"d\":true},{\"d\":false}],\"e\":[],\"f\":null}}"
+        Paths json = Paths.json("list",
+                "{\"a\":{\"b\":[1,2],\"c\":[{\"d\":true},{\"d\":false}],\"e\":[],\"f\":null}}"
                 .getBytes());
         for (String key : List.of("a.b", "a.c.count", "a.c.0.d", "a.c.1.d", "a.e")) {
             lines.append(key).append('=').append(json.need(key)).append('\n');
@@ -154,7 +155,7 @@
 
     @Test
     void theAdapterReadsTheSameSettings() throws Exception {
-        Paths all = Paths.json(new Example().json().getBytes());
+        Paths all = Paths.json("configuration", new Example().json().getBytes());
         assertEquals(new Example().read(dir).settings(),
                 SettingsReader.read(0x8c1f30d27a5be964L, all.below("settings.")));
     }
--- a/src/test/java/pearusher/serve/ServeProcessTest.java
+++ b/src/test/java/pearusher/serve/ServeProcessTest.java
@@ -5,6 +5,10 @@
 
 import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -79,7 +83,7 @@
     @Test
     void sigtermEndsCleanlyAndASecondStartOnThePortFails() throws Exception {
         int port;
-        try (java.net.ServerSocket free = new java.net.ServerSocket(0)) {
+        try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
         Map<String, String> environment = new Example().listen("127.0.0.1:" + port).write(dir);
@@ -98,6 +102,50 @@
         assertTrue(log("first").endsWith("INFO shutdown: n0 ends on SIGTERM\n"), log("first"));
     }
 
+    /** The lines that the page for on-call staff quotes, each said once. */
+    @Test
+    void theLogTellsChangesOfState() throws Exception {
+        try (Stand.Http discovery = new Stand.Http(); DatagramSocket stranger = new DatagramSocket()) {
+            int port;
+            try (ServerSocket free = new ServerSocket(0)) {
+                port = free.getLocalPort();
+            }
+            int mail;
+            try (DatagramSocket free = new DatagramSocket()) {
+                mail = free.getLocalPort();
+            }
+            start(new Example().listen("127.0.0.1:" + port).discovery(discovery.address())
+                    .with("\"peer_listen\": \"127.0.0.1:0\"", "\"peer_listen\": \"127.0.0.1:" + mail + "\"")
+                    .write(dir), "log", "pearusher.cli.Main", "serve");
+            Stand.until("ready", () -> log("log").contains("INFO ready: n0"));
+            discovery.next().answer(503, "");
+            Stand.until("lost", () -> log("log").contains("WARN discovery lost: WATCH ended: UNAVAILABLE"));
+            discovery.next().answer(503, "");
+            Stand.Request watch = discovery.next();
+            watch.beginWatch();
+            watch.line(Stand.listing(42, false));
+            Stand.until("back", () -> log("log").contains("INFO discovery back")
+                    && log("log").contains("INFO list back"));
+            InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
+            Stand.Caller proxy = new Stand.Caller(at);
+            proxy.send("joined proxy 3 zone north weight 2.5 fresh 1");
+            assertEquals('*', proxy.socket.getInputStream().read(), "its table comes");
+            proxy.reset();
+            Stand.until("its end", () -> log("log").contains("INFO connection of proxy 3 ended: RESET"));
+            Stand.Caller garbage = new Stand.Caller(at).reading();
+            garbage.send("GET / HTTP/1.1\r\n".getBytes());
+            Stand.until("garbage", () -> log("log").contains(
+                    "WARN connection of a stranger ended: GARBAGE: an unknown kind 'GET'")
+                    || log("log").contains("WARN connection of a stranger ended: GARBAGE: not RESP"));
+            stranger.send(new DatagramPacket(new byte[1], 1, new InetSocketAddress("127.0.0.1", mail)));
+            Stand.until("the datagram", () -> log("log").contains("WARN datagrams dropped: 1 so far"));
+            assertEquals(1, log("log").lines().filter(l -> l.contains("discovery lost")).count(), log("log"));
+            watch.line("{}");
+            Stand.until("the line", () -> log("log").contains("WARN discovery: a line can't be read: "
+                    + "list: the key generation is missing"));
+        }
+    }
+
     @Test
     void aFaultyConfigurationIsOneLineAndStatusTwo() throws Exception {
         Process p = start(new Example().with("\"tickUs\": 5000", "\"tickUs\": true").write(dir), "log",
--- a/src/test/java/pearusher/serve/ServeTest.java
+++ b/src/test/java/pearusher/serve/ServeTest.java
@@ -329,6 +329,17 @@
         assertEquals(List.of(), module.told);
     }
 
+    /** Where the settings say that changes come unasked, the module asks for none. */
+    @Test
+    void aPushedListIsWatchedUnasked() throws Exception {
+        example.with("\"discovery\": \"on_request\"", "\"discovery\": \"pushed\"");
+        start();
+        Stand.Request watch = discovery.next();
+        watch.beginWatch();
+        watch.line(Stand.listing(43, false));
+        module.hear("listed CHANGES []");
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"503", "404", "reset", "close", "hang", "silent", "end", "garbage", "json",
             "cut"})
@@ -552,6 +563,36 @@
         assertEquals("wrong", failure.get().getMessage());
     }
 
+    /** Guards the memory against a flood of reports; joins and ends of streams are never dropped. */
+    @Test
+    void aFloodOfReportsIsBoundedAndStreamsAreNot() throws Exception {
+        Config config = example.read(dir);
+        Exchange exchange = new Exchange(config, module, () -> 1_000_000, failure::set) {
+            @Override
+            void pause() { }
+        };
+        module.on(exchange);
+        exchange.begin();
+        for (int k = 0; k < 20_050; k++) {
+            exchange.usage(new Message.Usage(3, 0, k, 0, 1_000_000));
+        }
+        exchange.joined(new Exchange.Stream() {
+            @Override
+            public void send(byte[] message) { }
+
+            @Override
+            public void replaced() { }
+        }, new Message.Joined(5, 0, 1, true));
+        assertEquals(50, exchange.dropped());
+        while (exchange.waiting() > 0) {
+            exchange.turn();
+        }
+        assertEquals(20_000, module.told.stream().filter(t -> t.startsWith("usage")).count());
+        assertTrue(module.told.get(module.told.size() - 1).startsWith("joined 5"));
+        exchange.usage(new Message.Usage(3, 0, 1, 0, 1_000_000));
+        assertEquals(50, exchange.dropped());
+    }
+
     /** The clock never runs back and starts at Unix time. */
     @Test
     void theClockIsUnixTimeInMicroseconds() {
