Binds count the servers told to be back; fresh proxies hear of those in doubt only

On sockets a bind says of each server that it is back, since proxies keep withdrawals over streams; Rules.others counted only the lines. A module test of 100 servers and 100 proxies that come back at once had 10,788 lines waiting where 4,500 are allowed, so the rule on the queue would break in a larger fleet. Now a bind of a proxy that holds tables counts each line twice, and Tables spares fresh proxies the word but for servers that the list told a start or change of. It should guard against any mass rejoin, whatever its cause; it could slow binds after one, by up to twice.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -96,8 +96,7 @@
     private static final double QUICK_GROW = 1.02;
     /** Calm again under this share of both. */
     private static final double CALM_SHARE = 0.7;
-    /** Levels: deepest cut at once, periods and aims until it shows, growth in calm, least let in, of all
-     * and of a class; a rate that limits nobody. */
+    /** Levels: deepest cut, periods and aims until it shows, growth, least let in, of a class; no limit. */
     private static final double LEVEL_CUT = 0.6;
     private static final double LEVEL_WAIT = 1.5;
     private static final double LEVEL_GROW = 1.15;
@@ -855,7 +854,7 @@
         boolean room = !lines.isEmpty() || waiting < QUEUE_LINES * c.backlog();
         returns.removeIf(id -> room && back(servers.get(id)));
         boolean all = returns.isEmpty();
-        // Oldest first: who holds another's tables hears of withdrawals by its bind, within the grace.
+        // Oldest first: who holds others' tables hears by its bind what is out, and on sockets what is back.
         for (int id : proxies.keySet().stream().filter(p -> !proxies.get(p).bound)
                 .sorted(Comparator.comparingLong(p -> proxies.get(p).joinedUs)).toList()) {
             Proxy p = proxies.get(id);
@@ -866,7 +865,8 @@
             if (table.sent.isEmpty()) {
                 lines(p.zone, p.zone + 1);
             }
-            p.bound = take(List.of(id), 1 + table.sent.size() + 2 * level.length, QUEUE_SOON);
+            double told = (p.holds ? 2.0 : 1.0) * table.sent.size();
+            p.bound = take(List.of(id), 1 + told + 2 * level.length, QUEUE_SOON);
             all &= p.bound;
             if (p.bound) {
                 to.bind(id, p.zone, 0);
--- a/src/main/java/pearusher/serve/Exchange.java
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -190,7 +190,7 @@
                 module.left(now, what.proxy());
                 old.replaced();
             }
-            tables.joined(what.proxy());
+            tables.joined(what.proxy(), what.fresh());
             module.joined(now, what.proxy(), what.zone(), what.perS(), what.fresh());
         });
     }
@@ -275,6 +275,10 @@
                 return servers.size() - 1L;
             });
             addresses.put(id, one.hostPort());
+            if (form != Assigner.ListForm.CACHED || one.state() != Assigner.State.READY
+                    || one.startedUs() > 0) {
+                tables.doubt(id);
+            }
             entries.add(new Assigner.Entry(id, one.zone(), one.kind(), one.cell(), one.state(), one.weight(),
                     one.startedUs()));
         }
--- a/src/main/java/pearusher/serve/Tables.java
+++ b/src/main/java/pearusher/serve/Tables.java
@@ -47,10 +47,13 @@
         final boolean[] whole;
         /** Servers that this stream was told are out (true) or back; no entry: not known. */
         final Map<Long, Boolean> told = new TreeMap<>();
+        /** It holds no table that anyone ordered: only doubted servers may be shut out there. */
+        final boolean fresh;
         /** Classes told the levels for all, as long as no table of ours covers them. */
         int toldAll;
 
-        Proxy(int classes) {
+        Proxy(int classes, boolean fresh) {
+            this.fresh = fresh;
             table = new int[classes];
             Arrays.fill(table, UNBOUND);
             whole = new boolean[classes];
@@ -67,6 +70,8 @@
     private final Map<Integer, Proxy> proxies = new TreeMap<>();
     private final Message.Level[] forAll;
     private final Set<Long> withdrawn = new HashSet<>();
+    /** Servers that some assigner may have withdrawn: the list has told a start or any change of them. */
+    private final Set<Long> doubted = new HashSet<>();
     /** Of this turn. */
     private final Map<Long, Boolean> flips = new TreeMap<>();
     private int changedForAll;
@@ -80,8 +85,12 @@
     }
 
     /** A stream begins: what the proxy holds of withdrawals is not known, and no table of ours is its. */
-    void joined(int proxy) {
-        proxies.put(proxy, new Proxy(classes.size()));
+    void joined(int proxy, boolean fresh) {
+        proxies.put(proxy, new Proxy(classes.size(), fresh));
+    }
+
+    void doubt(long server) {
+        doubted.add(server);
     }
 
     void left(int proxy) {
@@ -302,7 +311,8 @@
      * What the proxy must hear of withdrawals this turn: those ordered now, where they concern it, and for
      * each server that a table of ours brings it now, how that one stands. A proxy keeps withdrawals over
      * streams and over our restarts: without the word that a server is back, one shut out long ago would stay
-     * so.
+     * so. To a fresh proxy, which never was bound, it goes for doubted servers only: the words count in the
+     * queue.
      */
     private Map<Long, Boolean> withdrawals(Proxy p) {
         Map<Long, Boolean> out = new TreeMap<>();
@@ -321,6 +331,7 @@
             if (table != null) {
                 Set<Long> brought = p.whole[k] ? table.lines.keySet() : table.changed;
                 brought.stream().filter(table.lines::containsKey)
+                        .filter(s -> !p.fresh || doubted.contains(s) || withdrawn.contains(s))
                         .forEach(s -> out.put(s, withdrawn.contains(s)));
             }
         }
--- a/src/test/java/pearusher/RulesTest.java
+++ b/src/test/java/pearusher/RulesTest.java
@@ -296,6 +296,31 @@
         assertEquals(300, p.fleet.tables.get(0).size());
     }
 
+    /** On sockets a bind tells who held tables of each server that it is back: lines that count as well. */
+    @Test
+    void bindsOfProxiesThatHoldTablesLeaveRoomForWhatIsBack() {
+        Play p = new Play(Fleet.settings());
+        p.rules.listed(p.now, Assigner.ListForm.CACHED, Fleet.servers(100, 2));
+        for (int proxy = 0; proxy < 100; proxy++) {
+            p.join(proxy, false);
+        }
+        double waiting = 0;
+        double most = 0;
+        for (int i = 0; i < 600 && p.fleet.bound.size() < 100; i++) {
+            int bound = p.fleet.bound.size();
+            p.step(100_000);
+            p.rules.timer(p.now, 1);
+            p.rules.timer(p.now, 3);
+            p.rules.close(p.now);
+            int binds = p.fleet.bound.size() - bound;
+            waiting += p.fleet.linesThisReply + (11 + 100) * binds;
+            most = Math.max(most, waiting);
+            waiting = Math.max(0, waiting - 300);
+        }
+        assertEquals(100, p.fleet.bound.size());
+        assertTrue(most <= 4500 * 0.8, "lines waiting " + most);
+    }
+
     @Test
     void aProxyThatMovesToAndFroIsBoundEachTimeAndStaysInTheQueuesRoom() {
         Play p = play(40, 12);
--- a/src/test/java/pearusher/serve/TablesTest.java
+++ b/src/test/java/pearusher/serve/TablesTest.java
@@ -26,7 +26,11 @@
     }
 
     private Stand.Held join(int proxy) {
-        tables.joined(proxy);
+        return join(proxy, false);
+    }
+
+    private Stand.Held join(int proxy, boolean fresh) {
+        tables.joined(proxy, fresh);
         return proxies.computeIfAbsent(proxy, p -> new Stand.Held(CLASSES));
     }
 
@@ -193,6 +197,27 @@
         assertEquals(Map.of("s5", 0.5f, "s8", 0.5f), one.open("read"));
     }
 
+    /**
+     * Guards the queue: a fresh proxy hears of a server that it is back only where the list gives a reason to
+     * think that it was ever out.
+     */
+    @Test
+    void aFreshProxyHearsOfDoubtedServersOnly() throws Exception {
+        Stand.Held one = join(1, true);
+        one.out.add("s6");
+        tables.doubt(6);
+        tables.line(0, 5, 0.5);
+        tables.line(0, 6, 0.5);
+        tables.line(0, 7, 0.5);
+        tables.withdraw(7, true);
+        tables.bind(1, 0, 0);
+        turn();
+        assertEquals(List.of(List.of("update", "whole", "1", "lines", "s5:0.5,s6:0.5,s7:0.5", "out", "s7",
+                "back",
+                "s6")), last.get(1));
+        assertEquals(Map.of("s5", 0.5f, "s6", 0.5f), one.open("read"));
+    }
+
     @Test
     void ordersForWhoHasLeftDoNothing() throws Exception {
         join(1);
