A join read while its connection closes, and calls dropped while dialling, leave nothing behind

Seen by reading: Streams.Link took a join after onClose had told no end, so the module would have kept a proxy that nobody could tell it had lost (a stranger closed for its descriptor just as it says who it is); a replaced stream that had closed already stayed among the strangers; Outbound.finish closed the channel under Jetty's end point, and a call dropped while it dialled stayed open. Joining, replacing and closing now go by one lock, calls hang up by their end point. The least of limits.sockets is 128, above the reserve. A connection that never comes up is tested by a listener whose queue is full.

--- a/src/main/java/pearusher/serve/Config.java
+++ b/src/main/java/pearusher/serve/Config.java
@@ -103,7 +103,7 @@
                 at.between("timeouts.stranger_ms", 1, 600_000, 20_000));
         Message.Listing known = at.has("known.generation") ? Message.Listing.of(at.below("known."), names)
                 : new Message.Listing(0, true, List.of());
-        int sockets = at.between("limits.sockets", 64, 1 << 20, 1024);
+        int sockets = at.between("limits.sockets", 128, 1 << 20, 1024);
         return new Config(name, listen, discovery, sockets, peerListen, List.copyOf(peers), peersAll,
                 known, settings, names, timeouts);
     }
--- a/src/main/java/pearusher/serve/Outbound.java
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -115,7 +115,7 @@
         private Scheduler.Task limit;
         private String host;
         private SocketChannel channel;
-        private EndPoint endPoint;
+        private volatile EndPoint endPoint;
         private int status;
         private Message.Listing list;
         private float[] load = new float[0];
@@ -136,6 +136,10 @@
                 try {
                     SocketChannel made = SocketChannel.open();
                     synchronized (this) {
+                        if (finished) {
+                            made.close();
+                            return;
+                        }
                         channel = made;
                     }
                     made.setOption(StandardSocketOptions.TCP_NODELAY, true);
@@ -250,19 +254,7 @@
             if (limit != null) {
                 limit.cancel();
             }
-            SocketChannel open;
-            synchronized (this) {
-                open = channel;
-            }
-            if (open != null) {
-                getExecutor().execute(() -> {
-                    try {
-                        open.close();
-                    } catch (IOException e) {
-                        Logger.debug(e);
-                    }
-                });
-            }
+            getExecutor().execute(this::hangUp);
             if (purpose == Purpose.PROBE) {
                 exchange.probed(server, ending, (System.nanoTime() - startNs) / 1000, load);
             } else if (ending != Ending.DROPPED && (purpose == Purpose.FETCH || watch == this)) {
@@ -278,6 +270,22 @@
             }
         }
 
+        private void hangUp() {
+            EndPoint up = endPoint;
+            try {
+                if (up != null) {
+                    up.close();
+                }
+                synchronized (this) {
+                    if (channel != null) {
+                        channel.close();
+                    }
+                }
+            } catch (IOException e) {
+                Logger.debug(e);
+            }
+        }
+
         // The parser's answers.
 
         @Override
--- a/src/main/java/pearusher/serve/Streams.java
+++ b/src/main/java/pearusher/serve/Streams.java
@@ -128,12 +128,7 @@
             links--;
             strangers.remove(link);
             pinging.remove(link);
-        }
-    }
-
-    private void known(Link link) {
-        synchronized (strangers) {
-            strangers.remove(link);
+            link.closed = true;
         }
     }
 
@@ -144,10 +139,11 @@
         private final IteratingCallback writer = new Writer();
         private long unsentBytes;
         private int pings;
-        private boolean collector;
-        private boolean proxies;
-        private int proxy = -1;
+        private volatile boolean collector;
+        private volatile int proxy = -1;
         private Ending ending;
+        /** Guarded by the strangers' lock. */
+        private boolean closed;
 
         Link(EndPoint endPoint, Executor executor) {
             super(endPoint, executor);
@@ -234,15 +230,15 @@
                 }
             } else if (message instanceof Message.Collector) {
                 collector = true;
-                seated();
+                seat(() -> { });
             } else if (message instanceof Message.Joined joined) {
                 if (proxy >= 0 && proxy != joined.proxy()) {
                     throw new Message.Fault("proxy " + joined.proxy() + " on the stream of proxy " + proxy);
                 }
-                proxy = joined.proxy();
-                proxies = true;
-                seated();
-                exchange.joined(this, joined);
+                seat(() -> {
+                    proxy = joined.proxy();
+                    exchange.joined(this, joined);
+                });
             } else if (message instanceof Message.Applied applied) {
                 if (proxy != applied.proxy()) {
                     throw new Message.Fault("applied by proxy " + applied.proxy() + " on another's stream");
@@ -255,8 +251,18 @@
             }
         }
 
-        private void seated() {
-            known(this);
+        /**
+         * It is no stranger any more. Guards against a join that is read while the connection is being
+         * closed: the module would keep a proxy whose end nobody tells.
+         */
+        private void seat(Runnable how) {
+            synchronized (strangers) {
+                if (closed) {
+                    return;
+                }
+                strangers.remove(this);
+                how.run();
+            }
             getEndPoint().setIdleTimeout(0);
         }
 
@@ -290,7 +296,9 @@
         @Override
         public void replaced() {
             synchronized (strangers) {
-                strangers.add(this);
+                if (!closed) {
+                    strangers.add(this);
+                }
             }
             getEndPoint().setIdleTimeout(config.timeouts().strangerMs());
         }
@@ -319,14 +327,14 @@
             }
             if (why != null) {
                 Logger.warn("connection of {} ended: {}: {}", who(), how, why);
-            } else if (proxies && how != Ending.CLOSED && how != Ending.DROPPED) {
+            } else if (proxy >= 0 && how != Ending.CLOSED && how != Ending.DROPPED) {
                 Logger.info("connection of {} ended: {}", who(), how);
             }
             getEndPoint().close();
         }
 
         private String who() {
-            return proxies ? "proxy " + proxy : collector ? "a collector" : "a stranger";
+            return proxy >= 0 ? "proxy " + proxy : collector ? "a collector" : "a stranger";
         }
 
         @Override
@@ -338,7 +346,7 @@
             }
             reader.close();
             closed(this);
-            if (proxies) {
+            if (proxy >= 0) {
                 exchange.ended(this, proxy);
             }
         }
--- a/src/test/java/pearusher/serve/ServeTest.java
+++ b/src/test/java/pearusher/serve/ServeTest.java
@@ -10,6 +10,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -424,12 +425,22 @@
 
     @ParameterizedTest
     @CsvSource({"200,OK", "503,TURNED_AWAY", "500,ERROR", "404,ERROR", "hang,NO_ANSWER", "reset,BROKEN",
-        "close,BROKEN", "cut,BROKEN", "garbage,BROKEN", "long,BROKEN", "refused,DOWN", "nowhere,DOWN"})
+        "close,BROKEN", "cut,BROKEN", "garbage,BROKEN", "long,BROKEN", "refused,DOWN", "nowhere,DOWN",
+                "full,DOWN"})
     void aProbeEndsOnceInOneOutcome(String how, String outcome) throws Exception {
         example.with("\"answer_ms\": 3000", "\"answer_ms\": 200").with("\"connect_ms\": 1000",
                 "\"connect_ms\": 100");
         Stand.Http task = new Stand.Http();
-        String address = how.equals("nowhere") ? "task.example:80" : task.address();
+        // Nobody takes calls from a full queue: a connection to it never comes up.
+        ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        List<SocketChannel> queue = new ArrayList<>();
+        for (int k = 0; k < 4; k++) {
+            queue.add(SocketChannel.open());
+            queue.get(k).configureBlocking(false);
+            queue.get(k).connect(full.getLocalSocketAddress());
+        }
+        String address = how.equals("nowhere") ? "task.example:80"
+                : how.equals("full") ? "127.0.0.1:" + full.getLocalPort() : task.address();
         if (how.equals("refused")) {
             task.close();
         }
@@ -440,7 +451,7 @@
                 address, "north", "in_service", 0)).getBytes(), example.read(dir).names()), false);
         module.hear("listed CHANGES");
         module.order(o -> o.probe(0));
-        if (!how.equals("refused") && !how.equals("nowhere")) {
+        if (!List.of("refused", "nowhere", "full").contains(how)) {
             Stand.Request call = task.next();
             assertEquals("/_load", call.path());
             switch (how) {
@@ -462,6 +473,10 @@
         module.hear("probed 1 DOWN");
         assertEquals(List.of(), module.told, "one outcome a probe");
         task.close();
+        full.close();
+        for (SocketChannel one : queue) {
+            one.close();
+        }
     }
 
     @Test
