--- a/src/test/java/pearusher/serve/ServeTest.java
+++ b/src/test/java/pearusher/serve/ServeTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -40,8 +42,22 @@
     private Example example;
     private InetSocketAddress at;
 
+    /** What the log said; it goes to standard output all the same. */
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private PrintStream standard;
+
     @BeforeEach
     void outside() throws Exception {
+        standard = System.out;
+        System.setOut(new PrintStream(standard) {
+            @Override
+            public void write(byte[] raw, int from, int n) {
+                synchronized (log) {
+                    log.write(raw, from, n);
+                }
+                super.write(raw, from, n);
+            }
+        });
         discovery = new Stand.Http();
         example = new Example().discovery(discovery.address());
     }
@@ -52,6 +68,15 @@
             one.stop();
         }
         discovery.close();
+        System.setOut(standard);
+    }
+
+    private void logged(String text) throws InterruptedException {
+        Stand.until(text, () -> {
+            synchronized (log) {
+                return log.toString().contains(text);
+            }
+        });
     }
 
     private Serve start(BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker) throws Exception {
@@ -229,6 +254,7 @@
                 });
             }
         }
+        logged("WARN connection of proxy 3 ended: UNREAD: 524288 bytes wait for it");
         assertEquals(List.of(), quick.held.faults);
         assertFalse(quick.ended);
         stopped.close();
@@ -599,6 +625,7 @@
             public void replaced() { }
         }, new Message.Joined(5, 0, 1, true));
         assertEquals(50, exchange.dropped());
+        logged("WARN reports dropped: 32 so far, while 20000 waited");
         while (exchange.waiting() > 0) {
             exchange.turn();
         }
