--- a/src/main/java/pearusher/serve/Outbound.java
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -37,7 +37,8 @@
  * never call again by itself: when to ask is the module's.
  */
 final class Outbound extends SelectorManager implements Exchange.Calls {
-    private static final int MOST_LIST = 8 << 20;
+    /** Bytes of a list or of a line of a watch: some nine thousand servers, read within a small heap. */
+    private static final int MOST_LIST = 2 << 20;
     private static final int MOST_LOAD = 4 << 10;
 
     /** What a call is for. */
