SIGHUP is taken though whoever started the process ignores it

Seen in its logs: four of five assigners say 'discovery lost: WATCH ended: CLOSED' and 'list lost' and never 'reload: ...' nor 'list back': n0 from 6.7 s to its end at 26 s. A process inherits that a signal is ignored; the virtual machine then drops handlers for SIGHUP without a word (onHangUp in Serve). Tests: the deploy file's line under an ignored signal reloads (fails without env); the warning.

--- a/src/main/java/pearusher/serve/Serve.java
+++ b/src/main/java/pearusher/serve/Serve.java
@@ -193,6 +193,9 @@
     /**
      * SIGHUP asks for the file again; without this the virtual machine would end on it. The class that takes
      * signals is not part of the Java standard and the compiler warns of it, so it is named at run time only.
+     * Where the signal was ignored when the process began (nohup, a trap of the shell that started it), the
+     * virtual machine leaves it so and drops the handler without a word: discovery moved, and an assigner
+     * that had not been told kept its list for good. The run line takes the signal back; here it is said.
      */
     private static void onHangUp(Runnable then) {
         try {
@@ -207,8 +210,12 @@
                         return method.getName().equals("hashCode") ? System.identityHashCode(self)
                                 : method.getName().equals("equals") ? self == args[0] : "hang-up";
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), taker);
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                Logger.warn("no reload on SIGHUP: it was ignored when the process began; start it by "
+                        + "env --default-signal=HUP");
+            }
         } catch (ReflectiveOperationException e) {
             Logger.warn("no reload on SIGHUP: {}", e.getMessage());
         }
--- a/src/test/java/pearusher/serve/ServeProcessTest.java
+++ b/src/test/java/pearusher/serve/ServeProcessTest.java
@@ -56,10 +56,19 @@
 
     private Process start(Map<String, String> environment, String name, String... command)
             throws IOException {
+        return launch(environment, name, java(command));
+    }
+
+    private static String[] java(String... command) {
         List<String> all = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
                 .toString(), "-cp", System.getProperty("java.class.path")));
         all.addAll(List.of(command));
-        ProcessBuilder how = new ProcessBuilder(all).redirectErrorStream(true)
+        return all.toArray(String[]::new);
+    }
+
+    private Process launch(Map<String, String> environment, String name, String... command)
+            throws IOException {
+        ProcessBuilder how = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(dir.resolve(name).toFile());
         how.environment().keySet().removeIf(k -> k.startsWith("EDGE_"));
         how.environment().putAll(environment);
@@ -188,6 +197,42 @@
         }
     }
 
+    /**
+     * Who starts the assigner may ignore SIGHUP, as nohup does, and the process inherits that. On a day of
+     * restarts four of five never heard that discovery had moved. The deploy file's own line takes it back.
+     */
+    @Test
+    void aHangUpIsAReloadThoughWhoeverStartedItIgnoresTheSignal() throws Exception {
+        try (Stand.Http discovery = new Stand.Http(); Stand.Http elsewhere = new Stand.Http()) {
+            Example example = new Example().discovery(discovery.address());
+            Map<String, String> environment = Map.copyOf(example.write(dir));
+            String run = Files.readAllLines(Path.of("deploy", "balancer.toml")).stream()
+                    .filter(l -> l.startsWith("run = ")).findFirst().orElseThrow();
+            String command = run.substring(run.indexOf('"') + 1, run.lastIndexOf('"')).replace(
+                    "-jar target/pearusher.jar", "-cp '" + System.getProperty("java.class.path")
+                            + "' pearusher.cli.Main");
+            Process p = launch(environment, "log", "/bin/sh", "-c", "trap '' HUP; " + command);
+            Stand.until("ready", () -> log("log").contains("INFO ready: n0"));
+            discovery.next().beginWatch();
+            example.discovery(elsewhere.address()).write(dir);
+            hangUp(p);
+            elsewhere.next().beginWatch();
+            assertTrue(log("log").contains("INFO reload: discovery " + elsewhere.address()), log("log"));
+            assertFalse(log("log").contains("no reload on SIGHUP"), log("log"));
+        }
+    }
+
+    @Test
+    void whereAHangUpCannotBeTakenTheLogSaysSo() throws Exception {
+        Process p = launch(new Example().write(dir), "log", "/bin/sh", "-c", "trap '' HUP; exec "
+                + String.join(" ", java("pearusher.cli.Main", "serve")));
+        Stand.until("ready", () -> log("log").contains("INFO ready: n0"));
+        assertTrue(log("log").contains("WARN no reload on SIGHUP: it was ignored when the process began"),
+                log("log"));
+        hangUp(p);
+        assertTrue(p.isAlive());
+    }
+
     @Test
     void aFaultyConfigurationIsOneLineAndStatusTwo() throws Exception {
         Process p = start(new Example().with("\"tickUs\": 5000", "\"tickUs\": true").write(dir), "log",
