--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -96,26 +96,23 @@
     /** Calm again under this share of both. */
     private static final double CALM_SHARE = 0.7;
     /** Levels: deepest cut, periods and aims until it shows, growth, least let in, of a class; no limit. */
-    private static final double LEVEL_CUT = 0.6, LEVEL_WAIT = 1.5;
-    private static final double LEVEL_GROW = 1.15;
+    private static final double LEVEL_CUT = 0.6, LEVEL_WAIT = 1.5, LEVEL_GROW = 1.15;
     /** No further cut while what would be cut shrinks to this part from one period to the next. */
     private static final double LEVEL_BETTER = 0.8;
     /** Growth near the level that jammed last, and how near that is: what was raised shows only later. */
     private static final double LEVEL_CREEP = 1.04, LEVEL_NEAR = 0.85;
-    private static final double LEVEL_LEAST = 0.15, CLASS_LEAST = 0.03;
+    private static final double LEVEL_LEAST = 0.15, CLASS_LEAST = 0.03, NO_LIMIT = 1e6;
     /** Warm servers that say how busy they are: overload from the first on, brought to the second. */
     private static final double BUSY_OVER = 0.85, BUSY_AIM = 0.7;
     /** What they said counts so much a period later; fewer answers than the second tell nothing. */
     private static final double BUSY_KEEP = 0.5, BUSY_LEAST = 1;
-    private static final double NO_LIMIT = 1e6;
-    /** Part of the limit for asking the list after which a failed watch is renewed (or half a period). */
-    private static final double ASK_AGAIN = 0.05;
+    /** Part of the limit for asking the list after which a failed watch is renewed, and its most multiple. */
+    private static final double ASK_AGAIN = 0.05, ASK_MOST = 4;
     /** A period's pass waits this share of a period for the reports, then goes without them. */
     private static final double EARLY = 0.8, LATEST = 1.3;
 
     /** After a start, passes with reports, and periods at most, until proxies that hold tables are bound. */
-    private static final int SETTLE_PASSES = 2;
-    private static final double SETTLE_MOST = 3;
+    private static final double SETTLE_PASSES = 2, SETTLE_MOST = 3;
     /** From this part of requests tried on, levels held from before count as full. */
     private static final double SETTLE_FULL = 0.85;
 
@@ -195,7 +192,7 @@
     private boolean started, watching, watchAsked, settled, forgot;
     private boolean reports, reported, over;
     private long startUs, heldUs, cutUs;
-    private int heardPasses, mark;
+    private int heardPasses, mark, failures;
     private double asked, tried, waiting;
     /** Lines ordered, those that have surely left the channel, and those that are out at its slowest. */
     private double ordered, gone, slow;
@@ -234,11 +231,14 @@
             if (watching || !watchAsked) { to.log("list lost"); }
             watching = false;
             watchAsked = true;
-            to.timer(Math.max(set.periodUs() / 2, (long) (ASK_AGAIN * set.limits().askWithinUs())), WATCH);
+            double again = Math.max(set.periodUs() / 2.0, ASK_AGAIN * set.limits().askWithinUs());
+            double spread = 0.75 + Math.floorMod(set.seed() * ++failures, 1000) / 2000.0;
+            to.timer((long) (again * spread * Math.min(ASK_MOST, 1 << Math.min(failures - 1, 9))), WATCH);
             return;
         }
         if (form != ListForm.CACHED && !watching) {
             watching = true;
+            failures = 0;
             if (watchAsked) { to.log("list back"); }
         }
         LinkedHashSet<Long> named = new LinkedHashSet<>();
@@ -401,8 +401,8 @@
 
     @Override
     public void probed(long now, long server, Probe end, long tookUs, float[] load) {
-        int at = set.reportFields().indexOf(Field.UTIL);
-        if (end == Probe.OK && at >= 0 && at < load.length) {
+        int at = servers.containsKey(server) ? set.reportFields().indexOf(Field.UTIL) : -1;
+        if (end == Probe.OK && at >= 0 && at < load.length && serving(servers.get(server))) {
             busySum += Math.max(0, Math.min(1, load[at]));
             busyN++;
         }
--- a/src/main/java/pearusher/serve/Config.java
+++ b/src/main/java/pearusher/serve/Config.java
@@ -22,6 +22,8 @@
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
         Message.Listing known, Assigner.Settings settings, Names names, Timeouts timeouts) {
 
+    private static final String OCTET = "(\\d{1,2}|1\\d\\d|2[0-4]\\d|25[0-5])";
+
     /** Time-outs of input and output, in milliseconds: all may be set under the key timeouts. */
     record Timeouts(int connectMs, int answerMs, int silentMs, int strangerMs) { }
 
@@ -178,7 +180,8 @@
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         String host = colon < 0 ? "" : text.substring(0, colon);
-        if (!host.matches("\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:.]+\\]")
+        // A number over 255 makes it a name to the library, which would ask the network and hold up all.
+        if (!host.matches(OCTET + "(\\." + OCTET + "){3}|\\[[0-9a-fA-F:.]+\\]")
                 || !text.substring(colon + 1).matches("\\d{1,5}")) {
             return null;
         }
--- a/src/main/java/pearusher/serve/Exchange.java
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -8,9 +8,11 @@
 import java.util.TreeMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
@@ -41,6 +43,11 @@
 
         /** A newer stream of the same proxy took its place. */
         void replaced();
+
+        /** Its place among all connections taken: of two of a proxy the later one is the newer. */
+        default long taken() {
+            return 0;
+        }
     }
 
     /** The client side. */
@@ -66,6 +73,7 @@
     private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
     private final AtomicInteger reports = new AtomicInteger();
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicBoolean flooded = new AtomicBoolean();
 
     // All below belongs to the decision thread.
     private final Map<String, Long> ids = new HashMap<>();
@@ -87,6 +95,8 @@
     private long now;
     private long timersMade;
     private long generation;
+    /** Since when discovery has begun its watches with older lists only; -1: it does not. */
+    private long olderSince = -1;
     private long serversMade;
     /** Answers to marks that could not be. */
     private long answers;
@@ -221,9 +231,19 @@
         return queue.size();
     }
 
+    /**
+     * Guards against joinings that are read in another order than they came: a proxy that was cut off right
+     * after it joined dials again, and both connections may be read at once. The dead one would take the
+     * place of the good one, and its end would unseat the proxy.
+     */
     void joined(Stream stream, Message.Joined what) {
         event(() -> {
-            Stream old = streams.put(what.proxy(), stream);
+            Stream old = streams.get(what.proxy());
+            if (old != null && old.taken() > stream.taken()) {
+                stream.replaced();
+                return;
+            }
+            streams.put(what.proxy(), stream);
             if (old != null) {
                 module.left(now, what.proxy());
                 old.replaced();
@@ -285,14 +305,17 @@
     private void report(Runnable what) {
         if (reports.incrementAndGet() > MOST_REPORTS) {
             reports.decrementAndGet();
-            long so = dropped.incrementAndGet();
-            if (Long.bitCount(so) == 1) {
-                Logger.warn("reports dropped: {} so far, while {} waited", so, MOST_REPORTS);
+            dropped.incrementAndGet();
+            if (flooded.compareAndSet(false, true)) {
+                Logger.warn("reports dropped: {} wait, more are dropped from here on", MOST_REPORTS);
             }
             return;
         }
         event(() -> {
-            reports.decrementAndGet();
+            // Over once half of them are through: at the brim it would begin and end with each report.
+            if (reports.decrementAndGet() <= MOST_REPORTS / 2 && flooded.compareAndSet(true, false)) {
+                Logger.warn("reports dropped no more: {} in all", dropped.get());
+            }
             what.run();
         });
     }
@@ -365,19 +388,65 @@
     }
 
     /** What discovery says, on a watch or as the whole list; older than what is held: passed over. */
-    void listed(Message.Listing what, boolean restarted) {
+    void listed(Message.Listing what, boolean begins) {
+        listed(what, begins, () -> true);
+    }
+
+    /**
+     * {@code begins}: the first line of a watch; {@code counts}: whether its call still does, asked in its
+     * turn. Guards against the last words of a watch that was moved, which its reader may hand over after the
+     * new one's first: a whole list of theirs would count as a discovery that started anew.
+     */
+    void listed(Message.Listing what, boolean begins, BooleanSupplier counts) {
         event(() -> {
-            boolean old = what.generation() < generation && !(what.whole() && restarted);
+            if (!counts.getAsBoolean()) {
+                return;
+            }
+            boolean old = what.generation() < generation;
+            if (old && what.whole() && begins) {
+                older(what);
+                return;
+            }
+            olderSince = old ? olderSince : -1;
             Message.Listing use = old ? new Message.Listing(generation, false, List.of()) : what;
             list(use.whole() ? Assigner.ListForm.WHOLE : Assigner.ListForm.CHANGES, use);
         });
     }
 
+    /**
+     * A new watch begins with a whole list that is older than the one held: a discovery that lags, whose list
+     * would let drained servers in again, or one that lost its count. The last good list stays and it is
+     * asked again; who says nothing newer for as long as an assigner may go without asking has started anew.
+     */
+    private void older(Message.Listing what) {
+        olderSince = olderSince < 0 ? now : olderSince;
+        if (now - olderSince >= config.settings().limits().askWithinUs()) {
+            Logger.warn("discovery began anew: generation {} after {}", what.generation(), generation);
+            olderSince = -1;
+            list(Assigner.ListForm.WHOLE, what);
+            return;
+        }
+        if (olderSince == now) {
+            Logger.warn("discovery older: generation {} after {}, passed over", what.generation(),
+                    generation);
+        }
+        calls.watch(false, generation);
+        watching = false;
+        module.listed(now, Assigner.ListForm.FAILED, List.of());
+    }
+
     /** A call to discovery, or the watch, ended without what it was for. */
     void listFailed() {
+        listFailed(() -> true);
+    }
+
+    /** The end of a watch that was moved meanwhile must not count as the end of the new one. */
+    void listFailed(BooleanSupplier counts) {
         event(() -> {
-            watching = false;
-            module.listed(now, Assigner.ListForm.FAILED, List.of());
+            if (counts.getAsBoolean()) {
+                watching = false;
+                module.listed(now, Assigner.ListForm.FAILED, List.of());
+            }
         });
     }
 
--- a/src/main/java/pearusher/serve/Outbound.java
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -50,6 +51,7 @@
     /** The watch that counts; an earlier one's end tells nothing. */
     private volatile Call watch;
     private volatile boolean lost;
+    private final AtomicLong unreadable = new AtomicLong();
 
     Outbound(Config config, Exchange exchange, Executor executor, Scheduler scheduler) {
         super(executor, scheduler, 1);
@@ -258,21 +260,23 @@
                 }
                 finished = true;
             }
-            if (limit != null) {
-                limit.cancel();
+            synchronized (this) {
+                if (limit != null) {
+                    limit.cancel();
+                }
             }
             getExecutor().execute(this::hangUp);
             if (purpose == Purpose.PROBE) {
                 exchange.probed(server, ending, (System.nanoTime() - startNs) / 1000, load);
             } else if (ending != Ending.DROPPED && (purpose == Purpose.FETCH || watch == this)) {
                 if (ending.answered() && list != null) {
-                    exchange.listed(list, true);
+                    exchange.listed(list, false);
                 } else {
                     if (!lost) {
                         Logger.warn("discovery lost: {} ended: {}", purpose, ending);
                     }
                     lost = true;
-                    exchange.listFailed();
+                    exchange.listFailed(() -> purpose == Purpose.FETCH || watch == this);
                 }
             }
         }
@@ -307,8 +311,7 @@
         public boolean headerComplete() {
             if (purpose == Purpose.WATCH && status == 200) {
                 // From here on it may last; its beats are what must not stay out.
-                limit.cancel();
-                endPoint.setIdleTimeout(config.timeouts().silentMs());
+                lineDue();
             }
             return false;
         }
@@ -329,17 +332,32 @@
             return false;
         }
 
+        /**
+         * The next line of a watch must be whole in time. Guards against one that brings a byte now and then:
+         * it is never idle, and would never tell anything again.
+         */
+        private void lineDue() {
+            synchronized (this) {
+                limit.cancel();
+                if (!finished) {
+                    limit = scheduler.schedule(() -> finish(Ending.SILENT), config.timeouts().silentMs(),
+                            TimeUnit.MILLISECONDS);
+                }
+            }
+        }
+
         /** A line of a watch; an empty one is a beat. */
         private void line() {
             byte[] text = body.toByteArray();
             body.reset();
+            lineDue();
             try {
                 boolean beat = text.length == 0 || text.length == 1 && text[0] == '\r';
                 if (beat && up) {
                     return;
                 }
                 if (!beat) {
-                    exchange.listed(Message.Listing.of(text, config.names()), !up);
+                    exchange.listed(Message.Listing.of(text, config.names()), !up, () -> watch == this);
                 }
                 up |= !beat;
                 if (lost && watch == this) {
@@ -347,7 +365,10 @@
                     Logger.info("discovery back");
                 }
             } catch (SettingsException e) {
-                Logger.warn("discovery: a line can't be read: {}", e.getMessage());
+                // It may say the same at each watch: told at 1, 2, 4, 8 ...
+                if (Long.bitCount(unreadable.incrementAndGet()) == 1) {
+                    Logger.warn("discovery: a line can't be read: {}", e.getMessage());
+                }
                 finish(Ending.GARBAGE);
             }
         }
--- a/src/main/java/pearusher/serve/Resp.java
+++ b/src/main/java/pearusher/serve/Resp.java
@@ -15,9 +15,13 @@
 final class Resp {
     /** Most bytes of a message, its headers included. */
     static final int MOST = 1 << 20;
-    /** Unfinished bytes that all connections may hold together, of which each may hold a share for sure. */
-    private static final long MOST_UNFINISHED = 8L << 20;
-    private static final int SURE = 64 << 10;
+    /**
+     * Unfinished bytes that all connections may hold together, by the memory that there is (a byte of them
+     * takes two while a buffer grows), of which each may hold a share for sure: ten messages of a proxy.
+     */
+    private static final long MOST_UNFINISHED = Math.min(8L << 20,
+            Math.max(2 * MOST, Runtime.getRuntime().maxMemory() / 8));
+    private static final int SURE = 4 << 10;
     private static final int KEPT = 1 << 10;
     private static final AtomicLong UNFINISHED = new AtomicLong();
     private static final byte[] END = {'\r', '\n'};
@@ -92,6 +96,11 @@
             return null;
         }
 
+        /** A message has begun and is not whole. */
+        synchronized boolean half() {
+            return taken > 0;
+        }
+
         private void count(int now) throws Fault {
             if (UNFINISHED.addAndGet(now - counted) > MOST_UNFINISHED && now > counted
                     && now > SURE) {
--- a/src/main/java/pearusher/serve/Streams.java
+++ b/src/main/java/pearusher/serve/Streams.java
@@ -45,6 +45,8 @@
     private static final int MOST_ACCEPTS = 16;
     /** Bytes that a stranger's message may have: a joining needs a hundred. */
     private static final int MOST_STRANGE = 8 << 10;
+    /** Silences (of discovery's time-outs) in which a message on a seated connection must be whole. */
+    private static final int HALF_SILENCES = 6;
     /** A stranger's time is looked at so many times while it runs. */
     private static final int LOOKS = 16;
 
@@ -53,6 +55,8 @@
     private final Scheduler scheduler;
     /** Guards all that the links share, itself included. */
     private final Set<Link> strangers = new LinkedHashSet<>();
+    /** Seated connections that owe the rest of a message. */
+    private final Set<Link> halves = new LinkedHashSet<>();
     /** Who waits for a pong until this assigner is ready. */
     private final Set<Link> pinging = new LinkedHashSet<>();
     private final ThreadLocal<ByteBuffer> buffers = ThreadLocal.withInitial(
@@ -62,6 +66,8 @@
     private int links;
     private int coming;
     private int accepts;
+    /** Connections taken since the start; the selector's own thread counts them. */
+    private long taken;
     /** Descriptors that the process held before the first connection. */
     private int held;
     private long refused;
@@ -105,7 +111,8 @@
         config = now;
     }
 
-    private int most() {
+    /** Connections that may be held at once. */
+    int most() {
         return Math.max(16, config.sockets() - held - RESERVE);
     }
 
@@ -121,6 +128,8 @@
                     over.add(one);
                 }
             }
+            long halfNs = (long) HALF_SILENCES * config.timeouts().silentMs() * 1_000_000L;
+            halves.stream().filter(one -> now - one.halfNs >= halfNs).forEach(over::add);
         }
         over.forEach(one -> one.end(Ending.SILENT, null));
         if (!stopping) {
@@ -157,36 +166,46 @@
      */
     @Override
     protected SelectableChannel doAccept(SelectableChannel listening) throws IOException {
-        Link out = null;
-        boolean full;
         synchronized (strangers) {
             accepts = accepts == MOST_ACCEPTS ? 0 : accepts + 1;
-            full = links >= most();
-            if (accepts == 0 || full && strangers.isEmpty() && coming > 0) {
+            if (accepts == 0 || links >= most() && strangers.isEmpty() && coming > 0) {
                 accepts = 0;
                 return null;
             }
-            if (full && !strangers.isEmpty()) {
-                out = strangers.stream().filter(l ->
-                        !l.begun).findFirst().orElse(strangers.iterator().next());
-                strangers.remove(out);
-            }
-        }
-        if (out != null) {
-            out.end(Ending.EVICTED, null);
         }
+        // Only who has come needs a place: the last look, at an empty queue, must cost nobody his.
         SelectableChannel made = super.doAccept(listening);
         if (made == null) {
             accepts = 0;
-        } else if (full && out == null) {
+            return null;
+        }
+        Link out;
+        synchronized (strangers) {
+            if (links < most()) {
+                return made;
+            }
+            out = strangest();
+        }
+        if (out == null) {
             made.close();
             accepts = 0;
             refused("a newcomer", "no descriptor is left");
             return null;
         }
+        out.evict();
         return made;
     }
 
+    /** Who goes for a newcomer, and is a stranger no more; null: nobody can. */
+    Link strangest() {
+        synchronized (strangers) {
+            Link out = strangers.stream().filter(l -> !l.begun).findFirst()
+                    .orElse(strangers.isEmpty() ? null : strangers.iterator().next());
+            strangers.remove(out);
+            return out;
+        }
+    }
+
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
         channel.configureBlocking(false);
@@ -195,7 +214,7 @@
             links++;
             coming++;
         }
-        accept(channel);
+        accept(channel, ++taken);
     }
 
     @Override
@@ -205,7 +224,7 @@
 
     @Override
     public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
-        return new Link(endPoint, getExecutor());
+        return new Link(endPoint, getExecutor(), (Long) attachment);
     }
 
     private void closed(Link link) {
@@ -215,6 +234,7 @@
                 coming -= link.opened ? 0 : 1;
             }
             strangers.remove(link);
+            halves.remove(link);
             pinging.remove(link);
             link.closed = true;
         }
@@ -256,7 +276,7 @@
      * seated one a message that makes no sense costs that message alone, since its end would leave a proxy's
      * time limits running; what can't be framed ends it.
      */
-    private final class Link extends AbstractConnection implements Exchange.Stream {
+    final class Link extends AbstractConnection implements Exchange.Stream {
         private final Resp.Reader reader = new Resp.Reader(MOST_STRANGE);
         private final ArrayDeque<byte[]> unsent = new ArrayDeque<>();
         private final IteratingCallback writer = new Writer();
@@ -271,13 +291,18 @@
         private Ending ending;
         /** Some bytes of it came. */
         private volatile boolean begun;
+        /** Its place among all that were taken; links are made by several threads, in any order. */
+        private final long taken;
         /** Guarded by the strangers' lock, with when it became a stranger. */
         private boolean opened;
+        private boolean evicted;
         private boolean closed;
         private long sinceNs;
+        private long halfNs;
 
-        Link(EndPoint endPoint, Executor executor) {
+        Link(EndPoint endPoint, Executor executor, long taken) {
             super(endPoint, executor);
+            this.taken = taken;
         }
 
         private final class Writer extends IteratingCallback {
@@ -324,6 +349,7 @@
         public void onFillable() {
             ByteBuffer buffer = buffers.get();
             try {
+                boolean any = false;
                 // A sender without pause gives way to others after so many reads.
                 for (int round = 0; round < 16; round++) {
                     buffer.clear().flip();
@@ -338,6 +364,7 @@
                     begun = true;
                     List<String> words;
                     while ((words = reader.next(buffer)) != null) {
+                        any = true;
                         try {
                             message(Message.read(words, config.names(), config.settings()));
                         } catch (Message.Fault e) {
@@ -348,6 +375,7 @@
                         }
                     }
                 }
+                owes(any);
                 fillInterested();
             } catch (Resp.Fault e) {
                 end(e.ending(), e.getMessage());
@@ -361,6 +389,20 @@
             }
         }
 
+        /**
+         * Notes since when the rest of a message is due. A good stream may be quiet for ever, but not in the
+         * midst of a message: who stops there is gone or can't be read any more, and would hold its place.
+         */
+        private void owes(boolean any) {
+            synchronized (strangers) {
+                if (!seated || closed || !reader.half()) {
+                    halves.remove(this);
+                } else if (halves.add(this) || any) {
+                    halfNs = System.nanoTime();
+                }
+            }
+        }
+
         private void message(Message message) throws Message.Fault {
             if (message instanceof Message.Ping) {
                 boolean now;
@@ -400,7 +442,7 @@
          */
         private void seat(Runnable how) {
             synchronized (strangers) {
-                if (closed) {
+                if (closed || evicted) {
                     return;
                 }
                 strangers.remove(this);
@@ -436,6 +478,11 @@
             }
         }
 
+        @Override
+        public long taken() {
+            return taken;
+        }
+
         /** The proxy has a newer stream: this one is closed like a stranger, a little later. */
         @Override
         public void replaced() {
@@ -453,6 +500,17 @@
             super.onFillInterestedFailed(cause);
         }
 
+        /** Ends it for its descriptor, but not who has joined since it was chosen: the reserve has room. */
+        void evict() {
+            synchronized (strangers) {
+                if (seated) {
+                    return;
+                }
+                evicted = true;
+            }
+            end(Ending.EVICTED, null);
+        }
+
         /** The one way in which a connection ends, whoever ends it; the first cause counts. */
         private void end(Ending how, String why) {
             synchronized (this) {
--- a/src/test/java/pearusher/Fleet.java
+++ b/src/test/java/pearusher/Fleet.java
@@ -53,6 +53,14 @@
                 null, null);
     }
 
+    static Assigner.Settings seeded(Assigner.Settings s, long seed) {
+        return new Assigner.Settings(seed, s.zones(), s.grades(), s.proxies(), s.me(), s.instances(),
+                s.zone(), s.channel(), s.limits(), s.prices(), s.levels(), s.usualRetry(), s.tryAims(),
+                s.periodUs(),
+                s.intakePerS(), s.ejects(), s.slices(), s.listOnRequest(), s.probes(), s.peers(),
+                s.reportFrom(), s.reportFields(), s.weightsListed(), s.tickUs(), s.goal(), s.site());
+    }
+
     static Assigner.Settings settings() {
         return settings(Assigner.Levels.SHARE, List.of(grade(Assigner.Effect.SAFE, 1),
                 grade(Assigner.Effect.UNSAFE, 3)), 2, 0, 0);
--- a/src/test/java/pearusher/RulesTest.java
+++ b/src/test/java/pearusher/RulesTest.java
@@ -1086,6 +1086,49 @@
         assertTrue(p.fleet.logs.contains("list back"));
     }
 
+    /** Instances that lost discovery at one instant must not all call again at one instant, ever faster. */
+    @Test
+    void delaysOfAskingAgainGrowToABoundAndAreSpreadBySeed() {
+        List<List<Long>> delays = new ArrayList<>();
+        for (long seed : new long[] {0x8c1f30d27a5be964L, 0x1c1f30d27a5be965L}) {
+            Assigner.Settings set = Fleet.settings();
+            Play p = new Play(Fleet.seeded(set, seed)).start(Fleet.servers(8, 2), 4);
+            p.list(Assigner.ListForm.WHOLE, Fleet.servers(8, 2));
+            List<Long> own = new ArrayList<>();
+            for (int k = 0; k < 40; k++) {
+                p.list(Assigner.ListForm.FAILED, List.of());
+                own.add(p.fleet.timers.get(2L));
+            }
+            p.list(Assigner.ListForm.WHOLE, Fleet.servers(8, 2));
+            p.list(Assigner.ListForm.FAILED, List.of());
+            assertEquals(own.get(0), p.fleet.timers.get(2L), "begins anew once the list is back");
+            assertTrue(own.get(0) >= 375_000 && own.get(0) <= 625_000, "the first " + own);
+            assertTrue(own.get(2) >= 2 * own.get(0) && own.stream().allMatch(d -> d <= 2_500_000), "" + own);
+            assertTrue(own.subList(2, 40).stream().distinct().count() > 10, "spread " + own);
+            delays.add(own);
+        }
+        assertFalse(delays.get(0).equals(delays.get(1)), "by seed");
+    }
+
+    /** A probe that was on its way when its server left tells nothing of those that stay. */
+    @Test
+    void theAnswerOfAServerThatLeftTellsNothing() {
+        for (boolean left : new boolean[] {true, false}) {
+            Play p = play(8, 8);
+            p.periods(8);
+            if (left) {
+                p.list(Assigner.ListForm.CHANGES, List.of(Fleet.state(1, 1, Assigner.State.DRAINING)));
+            }
+            for (int k = 0; k < 5; k++) {
+                for (int probe = 0; probe < 4; probe++) {
+                    p.rules.probed(p.now, left ? 1 : 2, Assigner.Probe.OK, 3000, new float[] {1});
+                }
+                p.period();
+            }
+            assertEquals(!left, p.fleet.logs.contains("overload"), "left: " + left);
+        }
+    }
+
     @Test
     void slicesAreNotServedButSaidSo() {
         List<Assigner.Grade> one = List.of(Fleet.grade(Assigner.Effect.SAFE, 1));
--- a/src/test/java/pearusher/serve/RespTest.java
+++ b/src/test/java/pearusher/serve/RespTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -114,6 +115,26 @@
         assertNull(new Resp.Reader(Resp.MOST).next(ByteBuffer.wrap(bytes("*1\r\n"))));
     }
 
+    /** Nor may hundreds hold a little too much each: nobody's messages are so long that he needs it. */
+    @Test
+    void manyUnfinishedMessagesOfSomeKilobytesAreBoundedToo() throws Exception {
+        byte[] part = bytes("*1\r\n$60000\r\n" + "x".repeat(30_000));
+        List<Resp.Reader> readers = new ArrayList<>();
+        int ended = 0;
+        for (int k = 0; k < 600; k++) {
+            readers.add(new Resp.Reader(Resp.MOST));
+            try {
+                assertNull(readers.get(k).next(ByteBuffer.wrap(part)));
+            } catch (Resp.Fault e) {
+                assertEquals(Ending.TOO_LONG, e.ending());
+                readers.get(k).close();
+                ended++;
+            }
+        }
+        readers.forEach(Resp.Reader::close);
+        assertTrue(ended >= 600 - (8 << 20) / 30_000, ended + " of 600 ended");
+    }
+
     /** A stranger may not announce what a proxy may. */
     @Test
     void aReaderHasItsOwnLimit() throws Exception {
--- a/src/test/java/pearusher/serve/ServeProcessTest.java
+++ b/src/test/java/pearusher/serve/ServeProcessTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import pearusher.Assigner;
 
 /** The real process: its starts and ends, as the page for on-call staff tells them. */
@@ -222,6 +224,50 @@
         }
     }
 
+    /** Joinings, pings and reports come in the instant of the end, and a reload right before or after it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void sigtermAmidWorkEndsCleanly(boolean reloadFirst) throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Process p = start(new Example().listen("127.0.0.1:" + port).write(dir), "log", "pearusher.cli.Main",
+                "serve");
+        Stand.until("ready", () -> log("log").contains("INFO ready: n0"));
+        List<Stand.Caller> callers = new ArrayList<>();
+        for (int k = 0; k < 8; k++) {
+            callers.add(new Stand.Caller(new InetSocketAddress("127.0.0.1", port)).reading());
+            callers.get(k).send("joined proxy " + k + " zone north weight 2.5 fresh 1");
+        }
+        Stand.until("their tables", () -> callers.stream().noneMatch(c -> c.came.isEmpty()));
+        Stand.Caller late = new Stand.Caller(new InetSocketAddress("127.0.0.1", port)).reading();
+        if (reloadFirst) {
+            hangUp(p);
+        }
+        late.send("ping");
+        callers.get(0).send("usage proxy 0 class order tries 1 failed 0 span_ms 1000");
+        p.destroy();
+        if (!reloadFirst) {
+            new ProcessBuilder("kill", "-HUP", "" + p.pid()).start().waitFor();
+        }
+        assertEquals(0, status(p));
+        assertTrue(log("log").contains("INFO shutdown: n0 ends on SIGTERM"), log("log"));
+        assertFalse(log("log").contains("ERROR") || log("log").contains("xception"), log("log"));
+        Stand.until("all streams end", () -> late.ended && callers.stream().allMatch(c -> c.ended));
+    }
+
+    /** Before the hook is there the virtual machine ends by itself, with the signal's status. */
+    @Test
+    void sigtermDuringTheStartIsNoFailure() throws Exception {
+        Process p = start(new Example().write(dir), "log", "pearusher.cli.Main", "serve");
+        Stand.until("its first line", () -> log("log").contains("INFO start: n0"));
+        p.destroy();
+        int status = status(p);
+        assertTrue(status == 0 || status == 143, "status " + status);
+        assertFalse(log("log").contains("ERROR"), log("log"));
+    }
+
     @Test
     void whereAHangUpCannotBeTakenTheLogSaysSo() throws Exception {
         Process p = launch(new Example().write(dir), "log", "/bin/sh", "-c", "trap '' HUP; exec "
