What can wait leaves room for all proxies of the tier; weights go table by table

Fault: most() in Rules lets weights fill 0.3 of what the grace lets arrive (here 7600 lines, 3.9 s), whatever must still go to all. Change: that share falls, to 0.1 at the least, with the proxies of the tier (a bind to a part and a word to each). So that messages stay long, weights go to one table's proxies first, and only when a fifth (was two fifths) of their share still waits.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -71,16 +71,15 @@
     /** Share of the backlog, and of the messages a proxy may be sent, that what can be put off may fill. */
     private static final double QUEUE_CALM = 0.5;
     /** Share under which the channel must be before weights fill it to the calm share, in few messages. */
-    private static final double QUEUE_LINES = 0.2;
+    private static final double QUEUE_LINES = 0.1;
     /** Share left at which few withdrawals go; shares that cold cuts and binds may fill, and withdrawals. */
-    private static final double QUEUE_FEW = 0.27;
-    private static final double QUEUE_SOON = 0.8, QUEUE_MOST = 0.9;
+    private static final double QUEUE_FEW = 0.27, QUEUE_SOON = 0.8, QUEUE_MOST = 0.9;
     /** Share of the backlog that lines may fill of which no answer has told that they left the channel. */
     private static final double QUEUE_OUT = 0.95;
     /** Part of the believed pace that the channel has at the least while no answer comes. */
     private static final double SLOWEST = 0.2;
-    /** Share of the lines that reach proxies within the grace up to which all but withdrawals may wait. */
-    private static final double QUEUE_GRACE = 0.3;
+    /** Shares of the lines that reach proxies within the grace up to which all but withdrawals may wait. */
+    private static final double QUEUE_GRACE = 0.3, QUEUE_LEAST = 0.1;
     /** Graces until joiners that hold tables and wait for the first passes hear the withdrawals. */
     private static final double HELD_BY = 0.3;
     /** Graces after a start until what was let in again before it has been told by former assigners. */
@@ -188,12 +187,11 @@
     private Map<Integer, Double> lines = new TreeMap<>();
     private final double[] level;
     private final double full;
-    private boolean restarts, moved, sendAgain, kept;
-    private boolean started, watching, watchAsked, settled, forgot;
-    private boolean reports, reported, over;
-    private long startUs, heldUs, cutUs;
-    private int heardPasses, mark, failures;
-    private double asked, tried, waiting;
+    private boolean restarts, moved, sendAgain, kept, started, watching, watchAsked, settled, forgot;
+    private boolean reports, reported, over, passDue;
+    private long startUs, heldUs, cutUs, plannedUs, passUs, waitingUs;
+    private int heardPasses, mark, failures, asks;
+    private double asked, tried, waiting, lastCut, lastGood, outlook;
     /** Lines ordered, those that have surely left the channel, and those that are out at its slowest. */
     private double ordered, gone, slow;
     /** A reply that may be out: lines ordered before and after it, waiting, to be answered, and answered. */
@@ -203,12 +201,8 @@
     private double let = 1, ceiling = 1, quick = 1, pace = 1;
     /** What the last period's own reports brought, ill servers aside. */
     private final Tally period = new Tally();
-    private double lastCut, lastGood, outlook;
     /** What servers said of how busy they are, of how many answers; capacity that was warm; who was asked. */
     private double busySum, busyN, warmth;
-    private int asks;
-    private long plannedUs, passUs, waitingUs;
-    private boolean passDue;
 
     public Rules(Settings set, Orders to) {
         this.set = set;
@@ -987,9 +981,12 @@
         return (set.limits().graceUs() - set.channel().lateMostUs()) / 1e6 * set.channel().linesPerS();
     }
 
-    /** What may wait of that share: what is not a withdrawal leaves those that may come time to arrive. */
+    /** What may wait of that share: what is not a withdrawal leaves room for what must arrive in the grace if
+     * all proxies of the tier come at once while servers drain: a bind to a part and a word to each. */
     private double most(double share) {
-        double grace = graceLines() * (share == QUEUE_MOST ? share : QUEUE_GRACE);
+        double each = 2.5 * set.channel().head() + 4 + level.length;
+        double calm = Math.min(QUEUE_GRACE, QUEUE_MOST - set.proxies() * each / graceLines());
+        double grace = graceLines() * (share == QUEUE_MOST ? share : Math.max(QUEUE_LEAST, calm));
         return Math.min(share * set.channel().backlog(), grace);
     }
 
@@ -1083,8 +1080,8 @@
     /** A line that moved by more than the dead band; {@code first}: how much it matters that it goes. */
     private record Move(int zone, long id, double weight, double first, boolean urgent) { }
 
-    /** The lines past the dead band: cold servers that shrink first, then by the share of requests that moves
-     * and by how long they waited, so that each has its turn; those of withdrawn servers last. */
+    /** The lines past the dead band: cold servers that shrink first, then table by table, for long messages,
+     * by the share of requests that moves and how long they waited; those of withdrawn servers last. */
     private boolean lines(int from, int to) {
         List<Move> moves = new ArrayList<>();
         for (int z = from; z < to; z++) {
@@ -1106,7 +1103,10 @@
                 moves.add(new Move(z, id, weight, gap, serving(s) && s.climb < 1 && weight < last));
             }
         }
-        moves.sort(Comparator.comparing((Move m) -> !m.urgent()).thenComparing(m -> -m.first()));
+        double[] sum = new double[tables.length];
+        moves.forEach(m -> sum[m.zone()] += m.first());
+        moves.sort(Comparator.comparing((Move m) -> !m.urgent()).thenComparing(m -> -sum[m.zone()])
+                .thenComparing(m -> -m.first()));
         boolean all = true;
         for (Move m : moves) {
             // On sockets a server new to a table comes with the word that it is back.
--- a/src/test/java/pearusher/RulesTest.java
+++ b/src/test/java/pearusher/RulesTest.java
@@ -382,6 +382,40 @@
         }
     }
 
+    /**
+     * On a narrow channel all proxies of the tier came to one assigner while servers drained in steps: the
+     * last words arrived 0.3 s late, behind weights that had filled a third of the grace before. Weights
+     * leave room for that, the more the larger the tier is, and go to one table's proxies in turn.
+     */
+    @ParameterizedTest
+    @CsvSource({"20, 1350", "100, 1050", "140, 450"})
+    void whatCanWaitLeavesRoomForAllProxiesOfTheTier(int tier, double room) {
+        Assigner.Settings set = Fleet.settings(Assigner.Levels.SHARE,
+                List.of(Fleet.grade(Assigner.Effect.SAFE, 1)), 2, 0, 0, 0, tier);
+        Play p = new Play(set).start(Fleet.servers(100, 2), 20);
+        p.triesPerZone = 20_000;
+        p.periods(8);
+        TrueChannel channel = new TrueChannel(p, 3000, 200_000);
+        double longest = 0;
+        for (int i = 0; i < 200; i++) {
+            p.step(20_000);
+            for (long id = 1; i % 50 == 0 && id <= 100; id++) {
+                // Every weight moves.
+                p.meanMs.put(id, id % 2 == i / 50 % 2 ? 400.0 : 100.0);
+            }
+            if (i % 50 == 0) {
+                p.period();
+            }
+            channel.answer();
+            p.rules.timer(p.now, 3);
+            p.rules.close(p.now);
+            Map<Integer, Integer> sent = channel.put();
+            longest = Math.max(longest, sent.values().stream().mapToInt(n -> n).average().orElse(0));
+        }
+        assertTrue(channel.most <= room && channel.most > 0.8 * room, channel.most + " lines wait");
+        assertTrue(longest > 40, "lines a message " + longest);
+    }
+
     /**
      * On a day of restarts a drain was broken by 0.03 s: joiners that hold tables heard a hundred withdrawals
      * each before the first passes, and the binds that make them needless waited behind those words.
--- a/src/test/java/pearusher/TrueChannel.java
+++ b/src/test/java/pearusher/TrueChannel.java
@@ -62,14 +62,16 @@
         }
     }
 
-    /** The messages that the orders since the last call become. */
-    void put() {
-        written(p, Set.of()).forEach((proxy, count) -> {
+    /** The messages that the orders since the last call become, and their lines by proxy. */
+    Map<Integer, Integer> put() {
+        Map<Integer, Integer> written = written(p, Set.of());
+        written.forEach((proxy, count) -> {
             queue.add(new Sent(proxy, p.fleet.marks, p.now));
             lines.add((double) count);
             waiting += count;
         });
         most = Math.max(most, waiting);
+        return written;
     }
 
     /**
