--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -175,11 +175,11 @@
     private final Map<Integer, Proxy> proxies = new TreeMap<>();
     /** The serving servers, as of the last pass. */
     private final List<Server> up = new ArrayList<>();
-    /** The zones' tables, then those of parts of the fleet: part k of zone z at z + k * zones. */
+    /** The zones' tables, then those of subsets of the fleet: subset k of zone z at z + k * zones. */
     private Table[] tables;
     private final int zones;
-    private int parts;
-    private boolean crowd, promotes;
+    private int subsets;
+    private boolean surge, promotes;
     /** Servers to withdraw, and those to let in again, oldest first. */
     private final LinkedHashSet<Long> withdrawals = new LinkedHashSet<>();
     private final LinkedHashSet<Long> returns = new LinkedHashSet<>();
@@ -505,7 +505,7 @@
         moved = true;
         judge(now);
         for (int z = 0; z < zones; z++) { weigh(z); }
-        parts();
+        deal();
     }
 
     /** Starting over: proxies that hold an earlier stream's tables keep them until this instance has heard of
@@ -819,22 +819,22 @@
             withdrawals.addAll(settled ? List.of() : out);
             heldUs = round ? 0 : heldUs;
         }
-        crowd(now);
-        // A crowd's binds take it off what drains: they go first, with the same room.
-        boolean all = !crowd || binds();
+        surge(now);
+        // A surge's binds take it off what drains: they go first, with the same room.
+        boolean all = !surge || binds();
         // Behind a queue they gather till they outweigh their heads, and nothing else goes meanwhile. Few
         // that would come too late so go as soon as they fit: they are what a full queue left of many.
         boolean many = withdrawals.size() > c.head();
         double bound = Arrays.stream(tables).mapToDouble(t -> t.users.size()
                 * told(withdrawals.stream().filter(t.sent::containsKey).count())).sum();
-        double cost = bound + told(withdrawals.size()) * (crowd ? 0 : oldest(p -> !p.follows).size());
+        double cost = bound + told(withdrawals.size()) * (surge ? 0 : oldest(p -> !p.follows).size());
         double goneUs = withdrawals.isEmpty() ? 0 : now - servers.get(withdrawals.iterator().next()).outUs;
         boolean late = waiting + cost + goneUs / 1e6 * c.linesPerS() > QUEUE_SOON * graceLines();
         boolean go = waiting <= c.backlog() * (many && cost > (QUEUE_MOST - QUEUE_FEW) * c.backlog()
                 ? QUEUE_CALM : QUEUE_FEW) || (many || late) && fits(cost, QUEUE_MOST);
         withdrawals.removeIf(id -> go && withdraw(id));
-        // Beside a crowd words that would come too late cost more than a part, which needs none.
-        if (late && parts > 0 && withdrawals.size() > 1 + up.size() / parts) {
+        // Beside a join surge words that would come too late cost more than a subset, which needs none.
+        if (late && subsets > 0 && withdrawals.size() > 1 + up.size() / subsets) {
             proxies.values().stream().filter(p -> p.table < zones).forEach(p -> p.bound = false);
         }
         all &= withdrawals.isEmpty() && others();
@@ -861,8 +861,8 @@
         few &= !lines.isEmpty();
         returns.removeIf(id -> room && back(servers.get(id)));
         boolean all = binds() & returns.isEmpty();
-        // Who is bound to a part gets its zone's table as the channel has room, in turn with weights.
-        if (parts > 0 && !crowd && few()) {
+        // Who is bound to a subset gets its zone's table as the channel has room, in turn with weights.
+        if (subsets > 0 && !surge && few()) {
             promotes = !promotes;
             all &= promotes && oldest(p -> p.table >= zones).stream().filter(id -> !capped(List.of(id)))
                     .allMatch(id -> bind(id, -1));
@@ -874,7 +874,7 @@
     /** Oldest first: who holds others' tables hears by its bind what is out, and on sockets what is back. */
     private boolean binds() {
         return oldest(p -> !p.bound && (settled || !p.holds)).stream()
-                .map(id -> bind(id, crowd ? part(proxies.get(id).zone) : -1)).reduce(true, (a, b) -> a & b);
+                .map(id -> bind(id, surge ? subset(proxies.get(id).zone) : -1)).reduce(true, (a, b) -> a & b);
     }
 
     private List<Integer> oldest(Predicate<Proxy> which) {
@@ -882,15 +882,15 @@
                 .sorted(Comparator.comparingLong(id -> proxies.get(id).joinedUs)).toList();
     }
 
-    /** Binds a proxy to a part's table, or (-1) to its zone's. */
-    private boolean bind(int id, int part) {
+    /** Binds a proxy to a subset's table, or (-1) to its zone's. */
+    private boolean bind(int id, int subset) {
         Proxy p = proxies.get(id);
-        int number = part < 0 ? p.zone : part;
+        int number = subset < 0 ? p.zone : subset;
         Table table = tables[number];
         if (table.planned.isEmpty()) { return true; }
         if (table.sent.isEmpty() || number >= zones && table.users.isEmpty()) { lines(number, number + 1); }
         boolean fits = take(List.of(id), whole(table.sent.keySet(), p) + Integer.bitCount(table.ordered),
-                p.bound ? QUEUE_CALM : crowd ? QUEUE_MOST : QUEUE_SOON);
+                p.bound ? QUEUE_CALM : surge ? QUEUE_MOST : QUEUE_SOON);
         if (fits) {
             table.users.addAll(number < zones ? List.of() : List.of(id));
             follow(id, p, number);
@@ -910,65 +910,65 @@
         return 1 + ids.size() + ids.stream().filter(id -> servers.get(id).doubt > (p.sure ? 1 : 0)).count();
     }
 
-    /** Joiners that hold tables are a crowd once whole ones for all can't arrive before the oldest's grace
-     * is over: each is bound to a part of the fleet first. Guards against old tables that name drained
+    /** Joiners that hold tables are a join surge once whole ones for all can't arrive before the grace of the
+     * oldest ends: each is bound to a subset of the fleet first. Guards against old tables that name drained
      * servers for many seconds when hundreds of proxies come at once. It ends as all are bound. */
-    private void crowd(long now) {
+    private void surge(long now) {
         Channel c = set.channel();
         up.removeIf(s -> !serving(s));
-        List<Integer> free = oldest(p -> !p.bound && settled && (p.holds || parts > 0));
+        List<Integer> free = oldest(p -> !p.bound && settled && (p.holds || subsets > 0));
         double gone = free.isEmpty() ? 0 : (now - proxies.get(free.get(0)).joinedUs) / 1e6 * c.linesPerS();
         double sure = up.stream().filter(s -> s.doubt > 1).count();
         double unsure = up.stream().filter(s -> s.doubt > 0).count();
         double whole = free.stream().mapToDouble(id -> proxies.get(id).sure ? sure : unsure).sum()
                 + free.size() * (c.head() + 2 + up.size());
-        crowd = !free.isEmpty() && (crowd || waiting + whole > QUEUE_SOON * (graceLines() - gone));
-        if (crowd && parts == 0 && !up.isEmpty()) {
+        surge = !free.isEmpty() && (surge || waiting + whole > QUEUE_SOON * (graceLines() - gone));
+        if (surge && subsets == 0 && !up.isEmpty()) {
             // So small that all proxies of the tier take half of what arrives in time; drains have the rest.
             double each = QUEUE_CALM * graceLines() / set.proxies() - c.head() - 2 - level.length;
-            parts = (int) Math.ceil(up.size() / Math.max(c.head() / 2, each / 2));
-            tables = Arrays.copyOf(tables, (1 + parts) * zones);
+            subsets = (int) Math.ceil(up.size() / Math.max(c.head() / 2, each / 2));
+            tables = Arrays.copyOf(tables, (1 + subsets) * zones);
             Arrays.setAll(tables, t -> t < zones ? tables[t]
                     : new Table(level.length, full, set.usualRetry()));
-            parts();
-        } else if (parts > 0 && !crowd && proxies.values().stream().allMatch(p -> p.table < zones)) {
+            deal();
+        } else if (subsets > 0 && !surge && proxies.values().stream().allMatch(p -> p.table < zones)) {
             IntStream.range(zones, tables.length).forEach(to::clear);
             tables = Arrays.copyOf(tables, zones);
-            servers.values().forEach(s -> s.part = 0);
-            parts = 0;
+            servers.values().forEach(s -> s.subset = 0);
+            subsets = 0;
         }
     }
 
-    /** Deals warm servers to the parts, evenly from each zone; a part that lost most is left. */
-    private void parts() {
-        int[][] dealt = new int[zones][parts + 1];
-        List<Server> warm = up.stream().filter(s -> parts > 0 && s.ready >= 1 && serving(s)).toList();
-        warm.forEach(s -> dealt[s.zone][s.part]++);
+    /** Deals warm servers to the subsets, evenly from each zone; a subset that lost most is left. */
+    private void deal() {
+        int[][] dealt = new int[zones][subsets + 1];
+        List<Server> warm = up.stream().filter(s -> subsets > 0 && s.ready >= 1 && serving(s)).toList();
+        warm.forEach(s -> dealt[s.zone][s.subset]++);
         for (Server s : warm) {
             int[] here = dealt[s.zone];
-            s.part = s.part > 0 ? s.part : IntStream.rangeClosed(1, parts).boxed()
+            s.subset = s.subset > 0 ? s.subset : IntStream.rangeClosed(1, subsets).boxed()
                     .min(Comparator.comparingInt(k -> here[k])).get();
-            here[s.part]++;
+            here[s.subset]++;
         }
         for (int t = zones; t < tables.length; t++) {
             Map<Long, Double> zone = tables[t % zones].planned;
             Map<Long, Double> planned = tables[t].planned;
             int k = t / zones;
             planned.clear();
-            warm.stream().filter(s -> s.part == k && zone.containsKey(s.id))
+            warm.stream().filter(s -> s.subset == k && zone.containsKey(s.id))
                     .forEach(s -> planned.put(s.id, zone.get(s.id)));
             int thin = t;
-            if (2 * planned.size() * parts < warm.size() || planned.isEmpty()) {
+            if (2 * planned.size() * subsets < warm.size() || planned.isEmpty()) {
                 proxies.values().stream().filter(p -> p.table == thin).forEach(p -> p.bound = false);
             }
         }
     }
 
-    /** The part of a zone's tables with the fewest proxies for its servers, or -1. */
-    private int part(int z) {
+    /** The subset of a zone's tables with the fewest proxies for its servers, or -1. */
+    private int subset(int z) {
         long warm = up.stream().filter(s -> s.ready >= 1).count();
-        return IntStream.rangeClosed(1, parts).map(k -> z + k * zones)
-                .filter(t -> 2 * tables[t].planned.size() * parts >= warm && !tables[t].planned.isEmpty())
+        return IntStream.rangeClosed(1, subsets).map(k -> z + k * zones)
+                .filter(t -> 2 * tables[t].planned.size() * subsets >= warm && !tables[t].planned.isEmpty())
                 .boxed().min(Comparator.comparingDouble(t -> (tables[t].users.size() + 1.0)
                         / tables[t].planned.size())).orElse(-1);
     }
@@ -982,7 +982,7 @@
     }
 
     /** What may wait of that share: what is not a withdrawal leaves room for what must arrive in the grace if
-     * all proxies of the tier come at once while servers drain: a bind to a part and a word to each. */
+     * all proxies of the tier come at once while servers drain: a bind to a subset and a word to each. */
     private double most(double share) {
         double each = 2.5 * set.channel().head() + 4 + level.length;
         double calm = Math.min(QUEUE_GRACE, QUEUE_MOST - set.proxies() * each / graceLines());
@@ -1009,9 +1009,9 @@
         return true;
     }
 
-    /** In a crowd its line goes, table by table: joiners are bound before they need a word. */
+    /** In a join surge its line goes, table by table: joiners are bound before they need a word. */
     private boolean withdraw(long id) {
-        if (crowd) {
+        if (surge) {
             IntStream.range(0, tables.length).filter(t -> tables[t].sent.containsKey(id)
                     && take(tables[t].users, 1, QUEUE_MOST)).forEach(t -> line(t, id, 0));
             return Arrays.stream(tables).noneMatch(t -> t.sent.containsKey(id));
--- a/src/main/java/pearusher/Server.java
+++ b/src/main/java/pearusher/Server.java
@@ -11,8 +11,8 @@
     double listed = 1;
     Assigner.State state = Assigner.State.READY;
     long startedUs, listedUs, outUs;
-    /** Its part of the fleet, from 1; 0: none yet. */
-    int part;
+    /** Its subset of the fleet, from 1; 0: none yet. */
+    int subset;
     boolean out, ill;
     /** Which proxies may shut it out by another's word: none, those not sure (1), all (2). */
     int doubt;
--- a/src/test/java/pearusher/RulesTest.java
+++ b/src/test/java/pearusher/RulesTest.java
@@ -339,7 +339,7 @@
      * waited for a whole table of 200 servers. What goes to all must pass the channel within the grace.
      */
     @Test
-    void aCrowdThatHoldsOldTablesIsBoundWithinTheGraceThoughWholeTablesDoNotFit() {
+    void aSurgeThatHoldsOldTablesIsBoundWithinTheGraceThoughWholeTablesDoNotFit() {
         Assigner.Settings set = Fleet.settings(Assigner.Levels.SHARE,
                 List.of(Fleet.grade(Assigner.Effect.SAFE, 1)), 2, 0, 0, 0, 140);
         Play p = new Play(set).start(Fleet.servers(100, 2), 20);
@@ -507,13 +507,13 @@
 
     /**
      * On days of restarts and of replaced servers the queue held up to 70 lines more than may wait, and here
-     * twice as many as may at the stated pace: those bound to whole tables that are to go to parts follow
+     * twice as many as may at the stated pace: those bound to whole tables that are to go to subsets follow
      * theirs until then, and what changes there is written to them.
      */
     @ParameterizedTest
     @CsvSource({"3000, 40, 20", "3000, 80, 3", "3000, 80, 20", "3000, 120, 0", "1500, 40, 15", "1500, 80, 10",
         "900, 40, 0", "600, 80, 6"})
-    void whoIsToGoToAPartIsCountedWhileItFollowsItsZonesTable(double pace, int holders, int at) {
+    void whoIsToGoToASubsetIsCountedWhileItFollowsItsZonesTable(double pace, int holders, int at) {
         Assigner.Settings set = Fleet.settings(Assigner.Levels.SHARE,
                 List.of(Fleet.grade(Assigner.Effect.SAFE, 1)), 2, 0, 0, 0, 200);
         Play p = new Play(set).start(Fleet.servers(120, 2), holders);
