Servers that are let in again keep their room in the channel in large tiers

Fault: back() takes the same share, so in a tier of 640 some four servers a reply returned in place of twenty, each reply with a head to all.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -72,8 +72,8 @@
     private static final double QUEUE_CALM = 0.5;
     /** Share under which the channel must be before weights fill it to the calm share, in few messages. */
     private static final double QUEUE_LINES = 0.1;
-    /** Share left at which few withdrawals go; shares that cold cuts and binds may fill, and withdrawals. */
-    private static final double QUEUE_FEW = 0.27, QUEUE_SOON = 0.8, QUEUE_MOST = 0.9;
+    /** Share left at which few withdrawals go; shares of cold cuts and binds, withdrawals, and returns. */
+    private static final double QUEUE_FEW = 0.27, QUEUE_SOON = 0.8, QUEUE_MOST = 0.9, QUEUE_BACK = 0.6;
     /** Share of the backlog that lines may fill of which no answer has told that they left the channel. */
     private static final double QUEUE_OUT = 0.95;
     /** Part of the believed pace that the channel has at the least while no answer comes. */
@@ -985,9 +985,9 @@
      * all proxies of the tier come at once while servers drain: a bind to a subset and a word to each. */
     private double most(double share) {
         double each = 2.5 * set.channel().head() + 4 + level.length;
-        double calm = Math.min(QUEUE_GRACE, QUEUE_MOST - set.proxies() * each / graceLines());
-        double grace = graceLines() * (share == QUEUE_MOST ? share : Math.max(QUEUE_LEAST, calm));
-        return Math.min(share * set.channel().backlog(), grace);
+        double calm = Math.max(QUEUE_LEAST, QUEUE_MOST - set.proxies() * each / graceLines());
+        double part = share == QUEUE_MOST ? share : Math.min(QUEUE_GRACE, share == QUEUE_BACK ? share : calm);
+        return Math.min(share * set.channel().backlog(), part * graceLines());
     }
 
     /** A channel may be slower than stated, and answers tell so late: the lines of which none has told that
@@ -1025,7 +1025,7 @@
     /** A server that was out is let in again together with its lines: a cold one would else get the weight
      * that it had. Guards against restarts of many at once; while there is no room they wait, unused. */
     private boolean back(Server s) {
-        boolean fits = take(proxies.keySet(), 2, s.climb < 1 ? QUEUE_CALM : QUEUE_SOON);
+        boolean fits = take(proxies.keySet(), 2, QUEUE_BACK);
         if (fits) {
             IntStream.range(0, zones).forEach(z -> line(z, s.id, scale(tables[z])
                     * tables[z].planned.getOrDefault(s.id, 0.0)));
--- a/src/test/java/pearusher/RulesTest.java
+++ b/src/test/java/pearusher/RulesTest.java
@@ -416,6 +416,27 @@
         assertTrue(longest > 40, "lines a message " + longest);
     }
 
+    /** A zone that comes back is let in a score of servers at once: one by one each pays a head to all. */
+    @Test
+    void aZoneComesBackManyServersAtOnceInALargeTierToo() {
+        Assigner.Settings set = Fleet.settings(Assigner.Levels.SHARE,
+                List.of(Fleet.grade(Assigner.Effect.SAFE, 1)), 2, 0, 0, 0, 140);
+        Play p = new Play(set).start(Fleet.servers(100, 2), 20);
+        p.periods(8);
+        for (Assigner.State state : List.of(Assigner.State.DRAINING, Assigner.State.READY)) {
+            List<Assigner.Entry> zone = new ArrayList<>();
+            for (long id = 2; id <= 80; id += 2) {
+                zone.add(Fleet.state(id, 0, state));
+            }
+            p.step(5 * Fleet.S);
+            p.fleet.orders.clear();
+            p.list(Assigner.ListForm.CHANGES, zone);
+        }
+        long back = p.fleet.orders.stream().filter(o -> o.startsWith("withdraw ") && o.endsWith(" false"))
+                .count();
+        assertTrue(back >= 20, back + " of 40 servers are back in the reply to the list");
+    }
+
     /**
      * On a day of restarts a drain was broken by 0.03 s: joiners that hold tables heard a hundred withdrawals
      * each before the first passes, and the binds that make them needless waited behind those words.
