Scale run: real assigners beside hollow proxies, collectors and watchers on loopback

The size in two years decides the design, and nothing measured it. A runner starts real assigners as deploy/balancer.toml says and stands in for discovery, proxies and collectors with real messages on real sockets. Sources in src/bench are compiled with the tests from now on, so that tests reach them.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 # Measurements, `name value unit` a line; QUICK=1 takes under 40 s. The figures kept are in docs/bench/.
 .PHONY: bench-classes bench-store bench-start bench-intake
 bench-classes:
-	mvn -q -B -Pbench -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/bench.cp
+	mvn -q -B -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/bench.cp
 
 bench-store: bench-classes
 	java -Xmx2g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.store.StoreBench $(QUICK)
@@ -36,3 +36,10 @@
 
 bench-intake: bench-classes
 	java -Xmx1g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.intake.IntakeBench $(QUICK)
+
+# Assigners, real and hollow, at a size, on loopback; ARGS are its options: --help tells them. QUICK=1 takes under two
+# minutes, the whole mix under fifteen; ROOT is the build that is measured.
+.PHONY: scale
+ROOT ?= .
+scale: bench-classes
+	java -Xmx2g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.scale.ScaleCommand --root $(ROOT) $(ARGS)
--- /dev/null
+++ b/src/bench/java/pearusher/scale/Failures.java
@@ -0,0 +1,115 @@
+package pearusher.scale;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Lets the window pass and makes in it the failures that the description asks for. */
+final class Failures {
+    private static final long POLL_MS = 20;
+
+    /** A check that is made all the while. */
+    interface Check {
+        void run() throws LimitReached, IOException;
+    }
+
+    /** What happens at a time of the window. */
+    private interface Step {
+        void run() throws IOException, InterruptedException, LimitReached;
+    }
+
+    private record Due(double atS, Step step) { }
+
+    private final Fleet fleet;
+    private final Report report;
+    private final List<Due> dues = new ArrayList<>();
+    private List<Integer> lostServers = List.of();
+
+    Failures(Fleet fleet, Report report) {
+        this.fleet = fleet;
+        this.report = report;
+        RunDescription run = fleet.run();
+        int zone = run.proxyZones() - 1;
+        plan(RunKey.KILL_AT, 0, this::kill);
+        plan(RunKey.ZONE_LOST_AT, 0, () -> loseZone(zone));
+        plan(RunKey.ZONE_LOST_AT, run.get(RunKey.ZONE_LOST_FOR), () -> returnZone(zone));
+        plan(RunKey.CUT_AT, 0, () -> cut(true));
+        plan(RunKey.CUT_AT, run.get(RunKey.CUT_FOR), () -> cut(false));
+        dues.sort((a, b) -> Double.compare(a.atS(), b.atS()));
+    }
+
+    private void plan(RunKey at, double afterS, Step step) {
+        double atS = fleet.run().get(at);
+        if (atS >= 0) {
+            dues.add(new Due(atS + afterS, step));
+        }
+    }
+
+    /** The window lasts until its time is over and all failures have been mended. */
+    void during(double seconds, Check check) throws IOException, InterruptedException, LimitReached {
+        long startNs = System.nanoTime();
+        double nowS = 0;
+        while (nowS < seconds || !dues.isEmpty()) {
+            while (!dues.isEmpty() && dues.get(0).atS() <= nowS) {
+                dues.remove(0).step().run();
+            }
+            check.run();
+            Thread.sleep(POLL_MS);
+            nowS = (System.nanoTime() - startNs) / 1e9;
+        }
+    }
+
+    /** The last assigner is killed and started again at once; others take its proxies meanwhile. */
+    private void kill() throws IOException, InterruptedException, LimitReached {
+        if (fleet.members().isEmpty()) {
+            throw new LimitReached("kill-at: there is no real assigner", "the run ended there");
+        }
+        long startNs = System.nanoTime();
+        Fleet.Member member = fleet.members().get(fleet.members().size() - 1);
+        member.process().kill();
+        if (!fleet.start(member)) {
+            throw new LimitReached("process: assigner " + member.number() + " gave no pong after its kill",
+                    "the run ended there");
+        }
+        report.add("kill_to_pong", (System.nanoTime() - startNs) / 1e6, "ms");
+        awaitBound("kill_to_all_bound", startNs, fleet.run().proxies());
+    }
+
+    private void loseZone(int zone) throws InterruptedException {
+        fleet.proxies().loseZone(zone);
+        fleet.discovery().loop().executeAndWait(() -> lostServers = fleet.feed().loseZone(zone));
+        report.add("zone_lost_servers", lostServers.size(), "1");
+    }
+
+    private void returnZone(int zone) throws InterruptedException, LimitReached {
+        long startNs = System.nanoTime();
+        fleet.discovery().loop().executeAndWait(() -> fleet.feed().returnZone(lostServers));
+        fleet.proxies().returnZone(zone);
+        awaitBound("zone_back_to_all_bound", startNs, fleet.run().proxies());
+    }
+
+    /** The region is off: discovery, collectors and proxies fall silent, and come back by new connections. */
+    private void cut(boolean begins) throws InterruptedException, LimitReached {
+        long startNs = System.nanoTime();
+        fleet.discovery().loop().executeAndWait(() -> fleet.discovery().cut(begins));
+        fleet.collectors().cut(begins);
+        fleet.proxies().cut(begins);
+        if (!begins) {
+            awaitBound("cut_back_to_all_bound", startNs, fleet.run().proxies());
+        }
+    }
+
+    private void awaitBound(String name, long startNs, int wanted) throws InterruptedException, LimitReached {
+        double mostS = fleet.run().get(RunKey.BIND_WAIT);
+        int bound = fleet.proxies().figures().bound();
+        while (bound < wanted) {
+            if (System.nanoTime() - startNs > mostS * 1e9) {
+                throw new LimitReached("binds: not all proxies bound again within " + Report.text(mostS) + " s",
+                        bound + " of " + wanted + " proxies");
+            }
+            Thread.sleep(POLL_MS);
+            bound = fleet.proxies().figures().bound();
+        }
+        report.add(name, (System.nanoTime() - startNs) / 1e6, "ms");
+    }
+}
--- /dev/null
+++ b/src/bench/java/pearusher/scale/HollowAssigners.java
@@ -0,0 +1,134 @@
+package pearusher.scale;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Hollow assigners as proxies and collectors see them: they answer pings, take joinings, write a table of all servers
+ * at each bind, changed lines at a given pace, and withdrawals; they decide nothing and keep no reports. Each watches
+ * discovery like a real one. All run on one loop.
+ */
+final class HollowAssigners implements AutoCloseable {
+    private static final byte[] PING = Words.bytes("ping");
+    private static final byte[] JOINED = Words.bytes("joined");
+    private static final byte[] PONG = RespWriter.message("pong");
+    private static final int MOST_MARK = 65_535;
+
+    /** How many there are, and what they write. */
+    record Shape(int count, int classes, double linesPerPeriod, long periodNs, long seed) { }
+
+    private final EventLoop loop = new EventLoop("hollow-assigners");
+    private final Shape shape;
+    private final List<AssignerAddress> addresses = new ArrayList<>();
+    private final List<HollowWatchers> watchers = new ArrayList<>();
+    private final Set<Peer> proxies = new LinkedHashSet<>();
+    private final SplittableRandom random;
+    private final int[] servers;
+    private int mark;
+
+    /** One connection: a proxy's stream, a collector, or a stranger. */
+    private final class Peer implements Connection.Handler {
+        private final RespScanner scanner = new RespScanner();
+        private Connection connection;
+
+        @Override
+        public void received(Connection from, ByteBuffer bytes) {
+            connection = from;
+            scanner.take(bytes, this::message);
+        }
+
+        private void message(RespScanner.View view) {
+            if (view.is(0, PING)) {
+                connection.send(PONG);
+            } else if (view.is(0, JOINED)) {
+                proxies.add(this);
+                connection.send(bind());
+            }
+        }
+
+        @Override
+        public void ended(Connection from, IOException why) {
+            proxies.remove(this);
+        }
+    }
+
+    HollowAssigners(Shape shape, StandInDiscovery discovery, int[] servers) throws IOException {
+        this.shape = shape;
+        this.servers = servers.clone();
+        random = new SplittableRandom(shape.seed());
+        for (int k = 0; k < shape.count(); k++) {
+            Traffic traffic = new Traffic();
+            addresses.add(new AssignerAddress(loop.listen(connection -> new Peer()), traffic));
+            HollowWatchers watcher = new HollowWatchers(1, discovery.listen(traffic), new ChangeTimes());
+            watchers.add(watcher);
+            watcher.watch();
+        }
+        if (shape.linesPerPeriod() > 0) {
+            loop.every(shape.periodNs(), this::lines);
+        }
+    }
+
+    List<AssignerAddress> addresses() {
+        return List.copyOf(addresses);
+    }
+
+    private int nextMark() {
+        mark = (mark + 1) % MOST_MARK;
+        return mark;
+    }
+
+    private byte[] bind() {
+        return RespWriter.message("update", "classes", allClasses(), "whole", "1", "lines",
+                table(servers.length), "ticket", Integer.toString(nextMark()));
+    }
+
+    private void lines() {
+        int count = (int) Math.round(shape.linesPerPeriod());
+        for (Peer proxy : List.copyOf(proxies)) {
+            proxy.connection.send(RespWriter.message("update", "classes", allClasses(), "lines", table(count),
+                    "ticket", Integer.toString(nextMark())));
+        }
+    }
+
+    private String allClasses() {
+        StringBuilder out = new StringBuilder();
+        for (int k = 0; k < shape.classes(); k++) {
+            out.append(k == 0 ? "" : "+").append(Words.className(k));
+        }
+        return out.toString();
+    }
+
+    /** So many lines from a server drawn on, with weights as long as real ones. */
+    private String table(int count) {
+        StringBuilder out = new StringBuilder(22 * count);
+        int first = count < servers.length ? random.nextInt(servers.length) : 0;
+        for (int k = 0; k < count; k++) {
+            out.append(k == 0 ? "" : ",").append(ServerCatalog.name(servers[(first + k) % servers.length]))
+                    .append(':').append(String.format(Locale.ROOT, "%.8f", 0.5 + random.nextDouble()));
+        }
+        return out.toString();
+    }
+
+    /** A server drains: every proxy hears so. */
+    void drains(int server) {
+        loop.execute(() -> {
+            byte[] message = RespWriter.message("update", "out", ServerCatalog.name(server), "ticket",
+                    Integer.toString(nextMark()));
+            for (Peer proxy : List.copyOf(proxies)) {
+                proxy.connection.send(message);
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        watchers.forEach(HollowWatchers::close);
+        loop.close();
+    }
+}
--- /dev/null
+++ b/src/bench/java/pearusher/scale/ProcessFigures.java
@@ -0,0 +1,81 @@
+package pearusher.scale;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** What the system tells of a process: processor time, memory, live heap. */
+final class ProcessFigures {
+    /** Processor time is counted in ticks of a hundredth of a second. */
+    static final double TICK_MS = 10;
+    /** Of /proc/PID/stat, counted behind the name in brackets: user and system time. */
+    private static final int USER_TICKS = 11;
+    private static final int SYSTEM_TICKS = 12;
+    private static final long JCMD_S = 60;
+
+    private ProcessFigures() { }
+
+    /** User and system time so far, in ticks. */
+    static long ticks(long pid) throws IOException {
+        String stat = Files.readString(Path.of("/proc", Long.toString(pid), "stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return Long.parseLong(fields[USER_TICKS]) + Long.parseLong(fields[SYSTEM_TICKS]);
+    }
+
+    /** Resident memory in kB. */
+    static long residentKb(long pid) throws IOException {
+        return status(pid, "VmRSS:");
+    }
+
+    static long peakResidentKb(long pid) throws IOException {
+        return status(pid, "VmHWM:");
+    }
+
+    private static long status(long pid, String key) throws IOException {
+        List<String> lines = Files.readAllLines(Path.of("/proc", Long.toString(pid), "status"));
+        for (String line : lines) {
+            if (line.startsWith(key)) {
+                return Long.parseLong(line.replaceAll("\\D", ""));
+            }
+        }
+        throw new IOException("no " + key + " of process " + pid);
+    }
+
+    /** Memory that the system could still give, in kB. */
+    static long availableKb() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/meminfo"))) {
+            if (line.startsWith("MemAvailable:")) {
+                return Long.parseLong(line.replaceAll("\\D", ""));
+            }
+        }
+        throw new IOException("no MemAvailable in /proc/meminfo");
+    }
+
+    /** Bytes of live objects, or -1 where the process can't be asked. It makes a full collection. */
+    static long liveHeapBytes(long pid) throws IOException, InterruptedException {
+        Path jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd");
+        Process process = new ProcessBuilder(jcmd.toString(), Long.toString(pid), "GC.class_histogram")
+                .redirectErrorStream(true).start();
+        try {
+            String out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            process.waitFor(JCMD_S, TimeUnit.SECONDS);
+            return totalBytes(out);
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    /** The last column of the line "Total instances bytes". */
+    static long totalBytes(String histogram) {
+        for (String line : histogram.split("\n")) {
+            String[] words = line.strip().split("\\s+");
+            if (words.length == 3 && words[0].equals("Total")) {
+                return Long.parseLong(words[2]);
+            }
+        }
+        return -1;
+    }
+}
