--- a/Makefile
+++ b/Makefile
@@ -42,4 +42,5 @@
 .PHONY: scale
 ROOT ?= .
 scale: bench-classes
-	java -Xmx2g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.scale.ScaleCommand --root $(ROOT) $(ARGS)
+	java -Xmx2g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.scale.ScaleCommand --root $(ROOT) \
+		$(if $(QUICK),--quick) $(ARGS)
--- a/src/bench/java/pearusher/scale/AssignerConfig.java
+++ b/src/bench/java/pearusher/scale/AssignerConfig.java
@@ -37,14 +37,14 @@
         json.set("name", place.name()).set("listen", listen).set("discovery", discovery)
                 .set("limits.sockets", run.sockets())
                 .set("known", new JsonTree.Raw(known))
-                .set("settings.azs", IntStream.range(0, run.zones()).mapToObj(ServerCatalog::zoneName).toList())
+                .set("settings.azs", zones())
                 .set("settings.myNumber", place.number())
                 .set("settings.replicasOfMe", Math.max(1, run.assigners()))
                 .set("settings.ceilings.peers", false)
                 .set("settings.ceilings.probes", false)
                 .set("settings.familyInfo.channelRate", run.channelRate())
                 .set("settings.familyInfo.mostWaiting", run.mostWaiting())
-                .set("settings.familyInfo.proxyCount", Math.max(RunDescription.LEAST_PROXY_COUNT, run.proxies()))
+                .set("settings.familyInfo.proxyCount", proxyCount())
                 .set("settings.familyInfo.reportsPerS", run.settingsReportsPerS())
                 .set("settings.familyInfo.reportEveryUs", run.periodMs() * 1000L)
                 .remove("peer_listen").remove("peers").remove("peers_all");
@@ -54,6 +54,14 @@
                 "EDGE_CONFIG", file.toAbsolutePath().toString());
     }
 
+    private List<String> zones() {
+        return IntStream.range(0, run.zones()).mapToObj(ServerCatalog::zoneName).toList();
+    }
+
+    private int proxyCount() {
+        return Math.max(RunDescription.LEAST_PROXY_COUNT, run.proxies());
+    }
+
     /** The example's classes by turns, under names of our own. */
     private void classes(JsonTree json) {
         List<Object> grades = new ArrayList<>();
--- a/src/bench/java/pearusher/scale/AssignerProcess.java
+++ b/src/bench/java/pearusher/scale/AssignerProcess.java
@@ -49,8 +49,9 @@
 
     static AssignerProcess start(RunLine line, Path directory, InetSocketAddress listen,
             Map<String, String> environment) throws IOException {
-        ProcessBuilder how = new ProcessBuilder("/bin/sh", "-c", line.command()).directory(line.root().toFile())
-                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log(directory)));
+        ProcessBuilder how = new ProcessBuilder("/bin/sh", "-c", line.command())
+                .directory(line.root().toFile()).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log(directory)));
         how.environment().putAll(environment);
         Process process = how.start();
         RUNNING.add(process);
@@ -133,6 +134,12 @@
         return lines.isEmpty() ? "(the log is empty)" : lines.get(lines.size() - 1);
     }
 
+    /** What it says against taking connections or messages, the last of it; empty where it says nothing. */
+    String complaint() throws IOException {
+        return log().stream().filter(line -> line.contains(" WARN ") || line.contains(" ERROR "))
+                .reduce("", (earlier, later) -> later);
+    }
+
     /** Reports that it says it dropped, or -1 where it began to and has not said how many. */
     long reportsDropped() throws IOException {
         long out = 0;
--- a/src/bench/java/pearusher/scale/ChangeFeed.java
+++ b/src/bench/java/pearusher/scale/ChangeFeed.java
@@ -6,8 +6,9 @@
 import java.util.SplittableRandom;
 
 /**
- * Changes the list: by turns a server begins to drain, and one that has drained goes while a new one comes in its
- * zone. Runs on discovery's loop, which owns the catalog, and tells those who have to know before the list does.
+ * Changes the list: by turns a server begins to drain, and one that has drained goes while a new one comes
+ * in its zone. Runs on discovery's loop, which owns the catalog, and tells those who have to know before the
+ * list does.
  */
 final class ChangeFeed {
     private static final long DRAIN_NS = 4_000_000_000L;
@@ -29,10 +30,10 @@
     private final ArrayDeque<Draining> draining = new ArrayDeque<>();
     private final List<Integer> serving;
     private boolean on;
-    private long made;
-    private long drains;
+    private volatile long made;
 
-    ChangeFeed(StandInDiscovery discovery, ServerCatalog catalog, ChangeTimes times, Listener listener, long seed) {
+    ChangeFeed(StandInDiscovery discovery, ServerCatalog catalog, ChangeTimes times,
+            Listener listener, long seed) {
         this.discovery = discovery;
         this.catalog = catalog;
         this.times = times;
@@ -63,7 +64,6 @@
         } else if (serving.size() > 1) {
             int server = serving.remove(random.nextInt(serving.size()));
             draining.add(new Draining(server, now));
-            drains++;
             catalog.set(server, ServerCatalog.Lifecycle.TERMINATING);
             listener.drains(server);
             tell(List.of(server));
@@ -99,7 +99,7 @@
     }
 
     private void tell(List<Integer> changed) {
-        made++;
+        made = made + 1;
         listener.inService(serving.stream().mapToInt(Integer::intValue).toArray());
         times.told(catalog.generation() + 1, System.nanoTime());
         discovery.changed(changed);
@@ -109,9 +109,4 @@
     long made() {
         return made;
     }
-
-    /** Servers that were told to drain one by one so far. */
-    long drains() {
-        return drains;
-    }
 }
--- a/src/bench/java/pearusher/scale/Connection.java
+++ b/src/bench/java/pearusher/scale/Connection.java
@@ -17,7 +17,7 @@
         /** Bytes came; what is not taken from the buffer is lost. */
         void received(Connection connection, ByteBuffer bytes);
 
-        /** It ended, by the other side (why is null) or by a failure; not told where we closed it ourselves. */
+        /** It ended, by the other side (why is null) or by a failure; not told where we closed it. */
         default void ended(Connection connection, IOException why) { }
     }
 
--- a/src/bench/java/pearusher/scale/DrainClock.java
+++ b/src/bench/java/pearusher/scale/DrainClock.java
@@ -2,12 +2,14 @@
 
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.IntPredicate;
 import org.HdrHistogram.Histogram;
 
 /**
- * Measures how long a server that is to drain goes on being held by proxies: a time for each proxy, and one for the
- * change as a whole, when the last of them let it go. Belongs to the loop of the proxies.
+ * Measures how long a server that is to drain goes on being held by proxies: a time for each proxy, and one
+ * for the change as a whole, when the last of them let it go. Belongs to the loop of the proxies.
  */
 final class DrainClock {
     private static final int DIGITS = 3;
@@ -54,6 +56,15 @@
         }
     }
 
+    /** A proxy has a new whole table: what it does not name is let go. */
+    void recheck(int proxy, IntPredicate holds, long nowNs) {
+        for (int server : List.copyOf(open.keySet())) {
+            if (!holds.test(server)) {
+                released(server, proxy, nowNs);
+            }
+        }
+    }
+
     /** A proxy's stream ended: nothing is measured on it any more. */
     void left(int proxy) {
         open.values().removeIf(drain -> {
--- a/src/bench/java/pearusher/scale/EventLoop.java
+++ b/src/bench/java/pearusher/scale/EventLoop.java
@@ -17,8 +17,9 @@
 import java.util.function.Function;
 
 /**
- * One thread with one selector: non-blocking connections, tasks from other threads and timers. All handlers of a
- * loop run on its thread, so what belongs to one loop needs no locks. It never blocks but in the selector.
+ * One thread with one selector: non-blocking connections, tasks from other threads and timers. All handlers
+ * of a loop run on its thread, so what belongs to one loop needs no locks. It never blocks but in the
+ * selector.
  */
 final class EventLoop implements AutoCloseable {
     private static final int READ_BUFFER_BYTES = 256 << 10;
@@ -44,6 +45,11 @@
         thread.start();
     }
 
+    @Override
+    public String toString() {
+        return "the loop " + thread.getName();
+    }
+
     /** Why the loop's thread ended by itself; null while all is well. */
     Throwable failure() {
         return failure;
--- a/src/bench/java/pearusher/scale/Failures.java
+++ b/src/bench/java/pearusher/scale/Failures.java
@@ -24,6 +24,8 @@
     private final Report report;
     private final List<Due> dues = new ArrayList<>();
     private List<Integer> lostServers = List.of();
+    /** Watches before the cut. */
+    private int watching;
 
     Failures(Fleet fleet, Report report) {
         this.fleet = fleet;
@@ -91,20 +93,35 @@
     /** The region is off: discovery, collectors and proxies fall silent, and come back by new connections. */
     private void cut(boolean begins) throws InterruptedException, LimitReached {
         long startNs = System.nanoTime();
+        watching = begins ? fleet.discovery().watching() : watching;
         fleet.discovery().loop().executeAndWait(() -> fleet.discovery().cut(begins));
         fleet.collectors().cut(begins);
         fleet.proxies().cut(begins);
         if (!begins) {
             awaitBound("cut_back_to_all_bound", startNs, fleet.run().proxies());
+            awaitWatching(startNs);
         }
     }
 
+    private void awaitWatching(long startNs) throws InterruptedException, LimitReached {
+        int now = fleet.discovery().watching();
+        while (now < watching) {
+            if (System.nanoTime() - startNs > fleet.run().get(RunKey.READY_WAIT) * 1e9) {
+                throw new LimitReached("watchers: not all watch again",
+                        now + " of " + watching + " watchers");
+            }
+            Thread.sleep(POLL_MS);
+            now = fleet.discovery().watching();
+        }
+        report.add("cut_back_to_all_watching", (System.nanoTime() - startNs) / 1e6, "ms");
+    }
+
     private void awaitBound(String name, long startNs, int wanted) throws InterruptedException, LimitReached {
         double mostS = fleet.run().get(RunKey.BIND_WAIT);
         int bound = fleet.proxies().figures().bound();
         while (bound < wanted) {
             if (System.nanoTime() - startNs > mostS * 1e9) {
-                throw new LimitReached("binds: not all proxies bound again within " + Report.text(mostS) + " s",
+                throw new LimitReached("binds: not all proxies bound again in " + Report.text(mostS) + " s",
                         bound + " of " + wanted + " proxies");
             }
             Thread.sleep(POLL_MS);
--- a/src/bench/java/pearusher/scale/Fleet.java
+++ b/src/bench/java/pearusher/scale/Fleet.java
@@ -1,7 +1,6 @@
 package pearusher.scale;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -9,7 +8,10 @@
 import java.util.Map;
 import java.util.stream.Stream;
 
-/** All parts of one run, real and hollow; closing it ends everything that it started and removes its directory. */
+/**
+ * All parts of one run, real and hollow; closing it ends everything that it started and removes its
+ * directory.
+ */
 final class Fleet implements AutoCloseable {
     private static final long MOST_MEMORY_KB = 12L << 20;
     private static final long SPARE_MEMORY_KB = 512 << 10;
@@ -87,7 +89,8 @@
 
     /** Starts an assigner, for the first time or again; false where it gave no pong. */
     boolean start(Member member) throws IOException, InterruptedException {
-        member.process = AssignerProcess.start(line, member.directory, member.place.listen(), member.environment);
+        member.process = AssignerProcess.start(line, member.directory, member.place.listen(),
+                member.environment);
         return member.process.awaitPong(run.get(RunKey.READY_WAIT));
     }
 
@@ -108,16 +111,18 @@
     /** Makes the hollow parts, which do nothing yet. */
     void makeHollow() throws IOException {
         watchers = new HollowWatchers(run.whole(RunKey.WATCHERS), discovery.listen(watcherTraffic), times);
+        long periodNs = run.periodMs() * 1_000_000L;
         int[] servers = catalog.inService().stream().mapToInt(Integer::intValue).toArray();
         List<AssignerAddress> addresses = new ArrayList<>();
         members.forEach(one -> addresses.add(new AssignerAddress(one.place.listen(), one.traffic)));
         hollowAssigners = new HollowAssigners(new HollowAssigners.Shape(run.hollowAssigners(), run.classes(),
-                run.get(RunKey.HOLLOW_LINES), run.periodMs() * 1_000_000L, run.seed()), discovery, servers);
+                run.get(RunKey.HOLLOW_UPDATES), run.get(RunKey.HOLLOW_LINES), periodNs, run.seed()),
+                discovery, servers);
         addresses.addAll(hollowAssigners.addresses());
-        double tierRequests = run.proxies() * run.classes() * run.get(RunKey.REQUESTS) / Math.max(1, run.assigners());
-        long periodNs = run.periodMs() * 1_000_000L;
+        double requests = run.proxies() * run.classes() * run.get(RunKey.REQUESTS)
+                / Math.max(1, run.assigners());
         collectors = new HollowCollectors(new HollowCollectors.Shape(run.proxyZones(), run.reportsPerS(),
-                run.get(RunKey.NOISE), tierRequests, periodNs, run.seed()), addresses, servers);
+                run.get(RunKey.NOISE), requests, periodNs, run.seed()), addresses, servers);
         proxies = new HollowProxies(new HollowProxies.Shape(run.proxies(), run.proxyZones(), run.classes(),
                 run.get(RunKey.REQUESTS), (long) (run.get(RunKey.APPLY_MS) * 1e6), periodNs), addresses);
         feed = new ChangeFeed(discovery, catalog, times, new ChangeFeed.Listener() {
@@ -173,15 +178,22 @@
 
     /** A loop that has ended by itself, or null. */
     String fault() {
-        Throwable failure = discovery.loop().failure();
-        return failure == null ? null : "discovery: " + failure;
+        for (EventLoop loop : List.of(discovery.loop(), proxies.loop(), collectors.loop(), watchers.loop(),
+                hollowAssigners.loop())) {
+            if (loop.failure() != null) {
+                return loop + ": " + loop.failure();
+            }
+        }
+        return null;
     }
 
     @Override
     public void close() throws IOException {
-        for (AutoCloseable part : new AutoCloseable[] {proxies, collectors, hollowAssigners, watchers, discovery}) {
-            closeQuietly(part);
-        }
+        closeQuietly(proxies);
+        closeQuietly(collectors);
+        closeQuietly(hollowAssigners);
+        closeQuietly(watchers);
+        closeQuietly(discovery);
         for (Member member : members) {
             closeQuietly(member.process);
         }
--- a/src/bench/java/pearusher/scale/HollowAssigners.java
+++ b/src/bench/java/pearusher/scale/HollowAssigners.java
@@ -10,18 +10,21 @@
 import java.util.SplittableRandom;
 
 /**
- * Hollow assigners as proxies and collectors see them: they answer pings, take joinings, write a table of all servers
- * at each bind, changed lines at a given pace, and withdrawals; they decide nothing and keep no reports. Each watches
- * discovery like a real one. All run on one loop.
+ * Hollow assigners as proxies and collectors see them: they answer pings, take joinings, write a table of
+ * all servers at each bind, changed lines at a given pace, and withdrawals; they decide nothing and keep no
+ * reports. Each watches discovery like a real one. All run on one loop.
  */
 final class HollowAssigners implements AutoCloseable {
     private static final byte[] PING = Words.bytes("ping");
     private static final byte[] JOINED = Words.bytes("joined");
     private static final byte[] PONG = RespWriter.message("pong");
+    /** As many digits as real weights have on average. */
+    private static final String WEIGHT = "%.7f";
     private static final int MOST_MARK = 65_535;
 
     /** How many there are, and what they write. */
-    record Shape(int count, int classes, double linesPerPeriod, long periodNs, long seed) { }
+    record Shape(int count, int classes, double updatesPerPeriod, double linesPerUpdate, long periodNs,
+            long seed) { }
 
     private final EventLoop loop = new EventLoop("hollow-assigners");
     private final Shape shape;
@@ -31,6 +34,8 @@
     private final SplittableRandom random;
     private final int[] servers;
     private int mark;
+    /** Parts of lines that are left over from one update to the next. */
+    private double linesDue;
 
     /** One connection: a proxy's stream, a collector, or a stranger. */
     private final class Peer implements Connection.Handler {
@@ -69,8 +74,8 @@
             watchers.add(watcher);
             watcher.watch();
         }
-        if (shape.linesPerPeriod() > 0) {
-            loop.every(shape.periodNs(), this::lines);
+        if (shape.updatesPerPeriod() > 0) {
+            loop.every((long) (shape.periodNs() / shape.updatesPerPeriod()), this::lines);
         }
     }
 
@@ -89,7 +94,12 @@
     }
 
     private void lines() {
-        int count = (int) Math.round(shape.linesPerPeriod());
+        linesDue += shape.linesPerUpdate();
+        int count = (int) linesDue;
+        linesDue -= count;
+        if (count == 0) {
+            return;
+        }
         for (Peer proxy : List.copyOf(proxies)) {
             proxy.connection.send(RespWriter.message("update", "classes", allClasses(), "lines", table(count),
                     "ticket", Integer.toString(nextMark())));
@@ -110,7 +120,7 @@
         int first = count < servers.length ? random.nextInt(servers.length) : 0;
         for (int k = 0; k < count; k++) {
             out.append(k == 0 ? "" : ",").append(ServerCatalog.name(servers[(first + k) % servers.length]))
-                    .append(':').append(String.format(Locale.ROOT, "%.8f", 0.5 + random.nextDouble()));
+                    .append(':').append(String.format(Locale.ROOT, WEIGHT, 0.5 + random.nextDouble()));
         }
         return out.toString();
     }
@@ -126,6 +136,10 @@
         });
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     @Override
     public void close() {
         watchers.forEach(HollowWatchers::close);
--- a/src/bench/java/pearusher/scale/HollowCollectors.java
+++ b/src/bench/java/pearusher/scale/HollowCollectors.java
@@ -7,9 +7,9 @@
 import java.util.SplittableRandom;
 
 /**
- * Collectors of the zones that have proxies, a connection for each zone and assigner, all on one loop. They report on
- * all servers in turn, so many lines a second to each assigner; means are noisy, by the seed. A line that its
- * connection has no room for is not sent and counted: no figure is given for it.
+ * Collectors of the zones that have proxies, a connection for each zone and assigner, all on one loop. They
+ * report on all servers in turn, so many lines a second to each assigner; means are noisy, by the seed. A
+ * line that its connection has no room for is not sent and counted: no figure is given for it.
  */
 final class HollowCollectors implements AutoCloseable {
     private static final long TICK_NS = 10_000_000L;
@@ -53,7 +53,7 @@
             }
         }
 
-        /** The next pair of zone and server: after as many lines as there are pairs, all have had their turn. */
+        /** The next pair of zone and server; after as many lines as there are pairs all had their turn. */
         private void line() {
             int count = servers.length;
             if (count == 0) {
@@ -129,8 +129,12 @@
 
     /** A server's own mean, by its number, with the noise of this report. */
     private double mean(int server) {
-        double own = LEAST_MEAN_MS + MEAN_SPREAD_MS * new SplittableRandom(shape.seed() + server).nextDouble();
-        double normal = random.nextDouble() + random.nextDouble() + random.nextDouble() + random.nextDouble() - 2;
+        double part = new SplittableRandom(shape.seed() + server).nextDouble();
+        double own = LEAST_MEAN_MS + MEAN_SPREAD_MS * part;
+        double normal = -2;
+        for (int k = 0; k < 4; k++) {
+            normal += random.nextDouble();
+        }
         return own * Math.exp(shape.noise() * Math.sqrt(3) * normal);
     }
 
@@ -158,9 +162,11 @@
             cut = begins;
             if (!begins) {
                 targets.forEach(target -> target.links.forEach(link -> {
-                    link.connection.reset();
-                    link.up = false;
-                    link.dial();
+                    if (link.up) {
+                        link.connection.reset();
+                        link.up = false;
+                        link.dial();
+                    }
                 }));
             }
         });
@@ -175,6 +181,10 @@
         return fault;
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     @Override
     public void close() {
         loop.close();
--- a/src/bench/java/pearusher/scale/HollowProxies.java
+++ b/src/bench/java/pearusher/scale/HollowProxies.java
@@ -8,8 +8,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Proxies that join, answer marks and send usage, all on one loop. Of a table a proxy keeps a bit a server and class:
- * enough to tell when a server that drains is let go.
+ * Proxies that join, answer marks and send usage, all on one loop. Of a table a proxy keeps a bit a server
+ * and class: enough to tell when a server that drains is let go.
  */
 final class HollowProxies implements AutoCloseable {
     private static final int DIGITS = 3;
@@ -55,6 +55,7 @@
         private int boundClasses;
         private boolean isBound;
         private boolean lost;
+        private boolean tableBegan;
         private long joinedNs;
         private long receivedBytes;
 
@@ -135,6 +136,11 @@
             if (ticket >= 0) {
                 answer(view.text(ticket));
             }
+            tableBegan |= view.value(WHOLE) >= 0;
+            if (last && tableBegan) {
+                tableBegan = false;
+                drains.recheck(number, this::holds, System.nanoTime());
+            }
             if (last && boundClasses == allClasses && !isBound) {
                 bound();
             }
@@ -175,8 +181,9 @@
             Connection on = connection;
             loop.schedule(shape.applyNs(), () -> {
                 if (on == connection && on.open()) {
-                    send(Traffic.Kind.APPLIED, RespWriter.message("applied", "proxy", Integer.toString(number),
-                            "mark", mark, "took_ms", RespWriter.tenths(TOOK_OF_DELAY * shape.applyNs() / 1e6)));
+                    String tookMs = RespWriter.tenths(TOOK_OF_DELAY * shape.applyNs() / 1e6);
+                    send(Traffic.Kind.APPLIED, RespWriter.message("applied", "proxy",
+                            Integer.toString(number), "mark", mark, "took_ms", tookMs));
                 }
             });
         }
@@ -194,8 +201,8 @@
             }
             long tries = Math.round(shape.requestsPerS() * shape.periodNs() / 1e9);
             for (int k = 0; k < shape.classes(); k++) {
-                send(Traffic.Kind.USAGE, RespWriter.message("usage", "proxy", Integer.toString(number), "class",
-                        Words.className(k), "tries", Long.toString(tries), "failed", "0", "span_ms",
+                send(Traffic.Kind.USAGE, RespWriter.message("usage", "proxy", Integer.toString(number),
+                        "class", Words.className(k), "tries", Long.toString(tries), "failed", "0", "span_ms",
                         RespWriter.tenths(shape.periodNs() / 1e6)));
             }
         }
@@ -297,11 +304,16 @@
 
     Figures figures() throws InterruptedException {
         Figures[] out = new Figures[1];
-        loop.executeAndWait(() -> out[0] = new Figures(bound, streamsEnded, drains.unfinished(), bindUs.copy(),
-                bindBytes.copy(), drains.perProxyUs().copy(), drains.everywhereUs().copy(), fault));
+        loop.executeAndWait(() -> out[0] = new Figures(bound, streamsEnded, drains.unfinished(),
+                bindUs.copy(), bindBytes.copy(), drains.perProxyUs().copy(),
+                drains.everywhereUs().copy(), fault));
         return out[0];
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     @Override
     public void close() {
         loop.execute(() -> stopping = true);
--- a/src/bench/java/pearusher/scale/HollowWatchers.java
+++ b/src/bench/java/pearusher/scale/HollowWatchers.java
@@ -9,8 +9,9 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Hollow assigners as discovery sees them: each watches the list, reads all that comes and keeps the generation that
- * it holds. How long a whole list and a change took to arrive is measured; all of them run on one loop.
+ * Hollow assigners as discovery sees them: each watches the list, reads all that comes and keeps the
+ * generation that it holds. How long a whole list and a change took to arrive is measured; all of them run
+ * on one loop.
  */
 final class HollowWatchers implements AutoCloseable {
     private static final int DIGITS = 3;
@@ -61,8 +62,9 @@
 
         @Override
         public void opened(Connection made) {
-            made.send(("GET /catalog/members?follow=1&since=" + generation + " HTTP/1.1\r\nHost: discovery\r\n"
-                    + "Accept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            String request = "GET /catalog/members?follow=1&since=" + generation + " HTTP/1.1\r\n"
+                    + "Host: discovery\r\nAccept: application/json\r\n\r\n";
+            made.send(request.getBytes(StandardCharsets.US_ASCII));
         }
 
         @Override
@@ -148,15 +150,20 @@
     }
 
     /** What watchers have measured up to now. */
-    record Figures(int listed, int ended, long receivedBytes, Histogram listUs, Histogram changeUs, String fault) { }
+    record Figures(int listed, int ended, long receivedBytes, Histogram listUs, Histogram changeUs,
+            String fault) { }
 
     Figures figures() throws InterruptedException {
         Figures[] out = new Figures[1];
-        loop.executeAndWait(() -> out[0] = new Figures(listed, ended, receivedBytes, listUs.copy(), changeUs.copy(),
-                fault));
+        loop.executeAndWait(() -> out[0] = new Figures(listed, ended, receivedBytes, listUs.copy(),
+                changeUs.copy(), fault));
         return out[0];
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     @Override
     public void close() {
         loop.execute(() -> stopping = true);
--- a/src/bench/java/pearusher/scale/RespScanner.java
+++ b/src/bench/java/pearusher/scale/RespScanner.java
@@ -6,12 +6,13 @@
 import java.util.function.Consumer;
 
 /**
- * Cuts RESP2 arrays of bulk strings out of a connection's bytes without making strings of them: a message is a
- * view of the bytes, valid only while its receiver runs. Bytes of an unfinished message are kept till the rest comes.
+ * Cuts RESP2 arrays of bulk strings out of a connection's bytes without making strings of them: a message is
+ * a view of the bytes, valid only while its receiver runs. Bytes of an unfinished message are kept till the
+ * rest comes.
  */
 final class RespScanner {
     private static final int MOST_WORDS = 64;
-    /** A longer buffer is given back once it is empty: every connection would else keep that of its longest. */
+    /** A longer buffer is given back once it is empty. */
     private static final int KEPT_BYTES = 4 << 10;
 
     /** One message: words within a byte array. */
--- a/src/bench/java/pearusher/scale/RunDescription.java
+++ b/src/bench/java/pearusher/scale/RunDescription.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** What a scale run is to do: a value for each key, checked. It never changes; {@link #with} makes another. */
+/** What a scale run is to do: a value for each key, checked. It never changes. */
 final class RunDescription {
     /** The settings' number of proxies is never less. */
     static final int LEAST_PROXY_COUNT = 64;
@@ -78,6 +78,16 @@
         return new RunDescription(next);
     }
 
+    /** Keys and values by turns in one text. */
+    RunDescription withWords(String text) throws Fault {
+        String[] words = text.split(" ");
+        RunDescription out = this;
+        for (int k = 0; k + 1 < words.length; k += 2) {
+            out = out.with(words[k], words[k + 1]);
+        }
+        return out;
+    }
+
     RunDescription with(RunKey key, double value) throws Fault {
         return with(key.key(), Double.toString(value));
     }
--- a/src/bench/java/pearusher/scale/RunKey.java
+++ b/src/bench/java/pearusher/scale/RunKey.java
@@ -29,12 +29,13 @@
     SOCKETS("sockets", "1024", 128, 65_536, "descriptors that an assigner is allowed by its file"),
     CHANNEL_RATE("channel-rate", "50000", 1, 1e9, "lines a second of the channel to the proxies"),
     MOST_WAITING("most-waiting", "100000", 1, 1e9, "lines that may wait in that channel"),
-    SETTINGS_REPORTS("settings-reports", "-1", -1, 1e9, "reportsPerS of the settings; -1: as many as are sent"),
+    SETTINGS_REPORTS("settings-reports", "-1", -1, 1e9, "reportsPerS of the settings; -1: what is sent"),
     PERIOD_MS("period-ms", "1000", 10, 60_000, "the reports' period"),
     APPLY_MS("apply-ms", "300", 0, 10_000, "time in which a proxy applies a mark"),
     READY_WAIT("ready-wait", "60", 1, 600, "most seconds to the first pong"),
     BIND_WAIT("bind-wait", "30", 1, 600, "most seconds until all proxies are bound"),
-    HOLLOW_LINES("hollow-lines", "0", 0, 1e6, "changed lines that hollow assigners write to a proxy each period"),
+    HOLLOW_UPDATES("hollow-updates", "0", 0, 100, "updates a hollow assigner writes to a proxy each period"),
+    HOLLOW_LINES("hollow-lines", "1", 0, 1e6, "changed lines in each of those"),
     SEED("seed", "1", 0, Long.MAX_VALUE, "seed of all that is drawn");
 
     private final String key;
--- a/src/bench/java/pearusher/scale/ScaleRun.java
+++ b/src/bench/java/pearusher/scale/ScaleRun.java
@@ -6,8 +6,8 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * One run from the start of its processes to the last figure: start, join, settle, measure a window, ask for what
- * takes time to ask. What it could not reach it says, and gives no figure for.
+ * One run from the start of its processes to the last figure: start, join, settle, measure a window, ask for
+ * what takes time to ask. What it could not reach it says, and gives no figure for.
  */
 final class ScaleRun {
     private static final int MOST_PROCESSES = 298;
@@ -51,8 +51,9 @@
         if (run.realAssigners() > MOST_PROCESSES) {
             throw new LimitReached("processes: " + MOST_PROCESSES, "none started");
         }
-        long needed = 2L * run.whole(RunKey.WATCHERS) + run.proxies() + SPARE_DESCRIPTORS
-                + (long) run.assigners() * (2 + 2 * run.proxyZones()) + (run.hollowAssigners() > 0 ? run.proxies() : 0);
+        long streams = run.hollowAssigners() > 0 ? 2L * run.proxies() : run.proxies();
+        long needed = 2L * run.whole(RunKey.WATCHERS) + streams + SPARE_DESCRIPTORS
+                + (long) run.assigners() * (2 + 2 * run.proxyZones());
         long most = descriptors();
         if (needed > most) {
             throw new LimitReached("descriptors: " + needed + " needed, " + most + " allowed to the runner",
@@ -89,7 +90,7 @@
         boolean all = until(LIST_WAIT_S, () -> figuresOf(fleet).listed() == wanted);
         if (!all) {
             HollowWatchers.Figures so = figuresOf(fleet);
-            throw new LimitReached("watchers" + (so.fault() == null ? ": not all lists within 60 s" : ": " + so.fault()),
+            throw new LimitReached("watchers: " + (so.fault() == null ? "not all lists in 60 s" : so.fault()),
                     so.listed() + " of " + wanted + " watchers");
         }
     }
@@ -117,10 +118,20 @@
             report.add("proxies_bound", bound, "1");
             String fault = fleet.proxies().figures().fault();
             throw new LimitReached("binds: not all proxies bound within " + Report.text(endS) + " s"
-                    + (fault == null ? "" : ", " + fault), bound + " of " + run.proxies() + " proxies");
+                    + (fault == null ? "" : ", " + fault) + complaints(fleet),
+                    bound + " of " + run.proxies() + " proxies");
         }
     }
 
+    private static String complaints(Fleet fleet) throws IOException {
+        StringBuilder out = new StringBuilder();
+        for (Fleet.Member member : fleet.members()) {
+            String complaint = member.process().complaint();
+            out.append(complaint.isEmpty() ? "" : "; assigner " + member.number() + " says: " + complaint);
+        }
+        return out.toString();
+    }
+
     private void pause(Fleet fleet, double seconds) throws InterruptedException, LimitReached, IOException {
         long endNs = System.nanoTime() + (long) (seconds * 1e9);
         while (System.nanoTime() < endNs) {
--- a/src/bench/java/pearusher/scale/ServerCatalog.java
+++ b/src/bench/java/pearusher/scale/ServerCatalog.java
@@ -5,15 +5,24 @@
 import java.util.List;
 
 /**
- * The servers that the stand-in of discovery knows, spread evenly over zones, and their list as text. A server's name
- * ends in its number, so that names needn't be looked up; a replaced server comes back under a new number.
+ * The servers that the stand-in of discovery knows, spread evenly over zones, and their list as text. A
+ * server's name ends in its number, so that names needn't be looked up; a replaced server comes back under a
+ * new number.
  */
 final class ServerCatalog {
     private static final int FIRST_GENERATION = 41;
     private static final String[] KINDS = {"small", "large"};
 
     /** What the list says of a server. */
-    enum Lifecycle { IN_SERVICE, TERMINATING, TERMINATED }
+    enum Lifecycle {
+        IN_SERVICE("in_service"), TERMINATING("terminating"), TERMINATED("terminated");
+
+        private final String text;
+
+        Lifecycle(String text) {
+            this.text = text;
+        }
+    }
 
     private static final class Entry {
         private final int zone;
@@ -123,9 +132,10 @@
             out.append(k == 0 ? "" : ",").append("{\"instanceId\":\"").append(name(server))
                     .append("\",\"hostPort\":\"10.").append(server >> 16 & 255).append('.')
                     .append(server >> 8 & 255).append('.').append(server & 255)
-                    .append(":8080\",\"zone\":\"").append(zoneName(entry.zone)).append("\",\"machineType\":\"")
-                    .append(KINDS[server / zones % KINDS.length]).append("\",\"cell\":").append(server % 8)
-                    .append(",\"lifecycle\":\"").append(entry.lifecycle.name().toLowerCase(java.util.Locale.ROOT))
+                    .append(":8080\",\"zone\":\"").append(zoneName(entry.zone))
+                    .append("\",\"machineType\":\"").append(KINDS[server / zones % KINDS.length])
+                    .append("\",\"cell\":").append(server % 8)
+                    .append(",\"lifecycle\":\"").append(entry.lifecycle.text)
                     .append("\",\"weight\":1.0,\"startedAtMs\":").append(entry.startedAtMs).append('}');
         }
         return out.append("]}").toString().getBytes(StandardCharsets.US_ASCII);
--- a/src/bench/java/pearusher/scale/StandInDiscovery.java
+++ b/src/bench/java/pearusher/scale/StandInDiscovery.java
@@ -10,8 +10,8 @@
 import java.util.Set;
 
 /**
- * A stand-in of discovery: the whole list, watches with changes, heartbeat lines. Each list and each change is
- * encoded once and shared by all watchers; all of it runs on one loop, which owns the catalog.
+ * A stand-in of discovery: the whole list, watches with changes, heartbeat lines. Each list and each change
+ * is encoded once and shared by all watchers; all of it runs on one loop, which owns the catalog.
  */
 final class StandInDiscovery implements AutoCloseable {
     private static final long BEAT_NS = 2_000_000_000L;
@@ -74,7 +74,8 @@
             }
             connection.send(WATCH_HEAD);
             long since = since(path);
-            if (since > 0 && since >= catalog.generation() - changes.size() && since <= catalog.generation()) {
+            boolean recent = since >= catalog.generation() - changes.size() && since <= catalog.generation();
+            if (since > 0 && recent) {
                 tell(chunk(catalog.changes(changedAfter(since))), Traffic.Kind.LIST_CHANGE);
             } else {
                 tell(whole(), Traffic.Kind.LIST_WHOLE);
--- a/src/bench/java/pearusher/scale/Window.java
+++ b/src/bench/java/pearusher/scale/Window.java
@@ -35,14 +35,14 @@
             traffic(report, name, traffic, seconds);
             // A process that was ended or started anew within the window has no processor time of the window.
             if (begin.process() == begin.member().process() && begin.process().alive()) {
-                double cpuMs = (ProcessFigures.ticks(begin.process().pid()) - begin.ticks()) * ProcessFigures.TICK_MS;
-                processor(report, name, cpuMs, seconds, traffic);
+                long ticks = ProcessFigures.ticks(begin.process().pid()) - begin.ticks();
+                processor(report, name, ticks * ProcessFigures.TICK_MS, seconds, traffic);
             }
         }
         List<AssignerAddress> addresses = fleet.hollowAssigners().addresses();
         for (int k = 0; k < addresses.size(); k++) {
-            traffic(report, "h" + k + ".", Traffic.difference(addresses.get(k).traffic().snapshot(), hollow.get(k)),
-                    seconds);
+            Map<Traffic.Kind, Traffic.Count> now = addresses.get(k).traffic().snapshot();
+            traffic(report, "h" + k + ".", Traffic.difference(now, hollow.get(k)), seconds);
         }
     }
 
@@ -50,7 +50,8 @@
             Map<Traffic.Kind, Traffic.Count> traffic) {
         report.add(name + "core", cpuMs / seconds / 10, "percent_of_a_core");
         long heard = traffic.get(Traffic.Kind.HEARD).messages();
-        long all = heard + traffic.get(Traffic.Kind.USAGE).messages() + traffic.get(Traffic.Kind.APPLIED).messages();
+        long all = heard + traffic.get(Traffic.Kind.USAGE).messages()
+                + traffic.get(Traffic.Kind.APPLIED).messages();
         if (heard > 0) {
             report.add(name + "cpu_per_heard", 1000 * cpuMs / heard, "us");
         }
--- a/src/bench/java/pearusher/serve/KillBench.java
+++ b/src/bench/java/pearusher/serve/KillBench.java
@@ -11,7 +11,6 @@
 import java.util.StringJoiner;
 import java.util.concurrent.atomic.AtomicLong;
 import org.HdrHistogram.Histogram;
-import pearusher.Assigner;
 import pearusher.Rules;
 import pearusher.store.FileDisk;
 import pearusher.store.Options;
