Scale run: takeover and restart are timed apart; hollow binds look like real ones

A kill waited for the restart before it looked at the binds, so the takeover's time had a start in it. Hollow binds were 7 % shorter than real ones: classes were named and weights had fewer digits.

--- a/src/bench/java/pearusher/scale/Failures.java
+++ b/src/bench/java/pearusher/scale/Failures.java
@@ -61,20 +61,31 @@
         }
     }
 
-    /** The last assigner is killed and started again at once; others take its proxies meanwhile. */
+    /**
+     * The last assigner is killed and started again: at once where it is alone, else once the others have
+     * bound its proxies, so that the time of the takeover has no start in it.
+     */
     private void kill() throws IOException, InterruptedException, LimitReached {
         if (fleet.members().isEmpty()) {
             throw new LimitReached("kill-at: there is no real assigner", "the run ended there");
         }
         long startNs = System.nanoTime();
         Fleet.Member member = fleet.members().get(fleet.members().size() - 1);
+        long before = fleet.proxies().figures().bindUs().getTotalCount();
+        int lost = fleet.proxies().boundAt(member.number());
         member.process().kill();
+        boolean alone = fleet.run().assigners() == 1;
+        if (!alone) {
+            awaitBound("kill_to_all_bound", startNs, before + lost);
+        }
         if (!fleet.start(member)) {
-            throw new LimitReached("process: assigner " + member.number() + " gave no pong after its kill",
+            throw new LimitReached("process: assigner " + member.number() + " gave no pong again",
                     "the run ended there");
         }
-        report.add("kill_to_pong", (System.nanoTime() - startNs) / 1e6, "ms");
-        awaitBound("kill_to_all_bound", startNs, fleet.run().proxies());
+        report.add("restart_to_pong", member.process().readyMs(), "ms");
+        if (alone) {
+            awaitBound("kill_to_all_bound", startNs, before + lost);
+        }
     }
 
     private void loseZone(int zone) throws InterruptedException {
@@ -87,7 +98,7 @@
         long startNs = System.nanoTime();
         fleet.discovery().loop().executeAndWait(() -> fleet.feed().returnZone(lostServers));
         fleet.proxies().returnZone(zone);
-        awaitBound("zone_back_to_all_bound", startNs, fleet.run().proxies());
+        awaitBound("zone_back_to_all_bound", startNs, 0);
     }
 
     /** The region is off: discovery, collectors and proxies fall silent, and come back by new connections. */
@@ -98,7 +109,7 @@
         fleet.collectors().cut(begins);
         fleet.proxies().cut(begins);
         if (!begins) {
-            awaitBound("cut_back_to_all_bound", startNs, fleet.run().proxies());
+            awaitBound("cut_back_to_all_bound", startNs, 0);
             awaitWatching(startNs);
         }
     }
@@ -116,16 +127,18 @@
         report.add("cut_back_to_all_watching", (System.nanoTime() - startNs) / 1e6, "ms");
     }
 
-    private void awaitBound(String name, long startNs, int wanted) throws InterruptedException, LimitReached {
+    /** All proxies are bound, and so many binds were made since the start of the run. */
+    private void awaitBound(String name, long startNs, long binds) throws InterruptedException, LimitReached {
         double mostS = fleet.run().get(RunKey.BIND_WAIT);
-        int bound = fleet.proxies().figures().bound();
-        while (bound < wanted) {
+        int wanted = fleet.run().proxies();
+        HollowProxies.Figures now = fleet.proxies().figures();
+        while (now.bound() < wanted || now.bindUs().getTotalCount() < binds) {
             if (System.nanoTime() - startNs > mostS * 1e9) {
                 throw new LimitReached("binds: not all proxies bound again in " + Report.text(mostS) + " s",
-                        bound + " of " + wanted + " proxies");
+                        now.bound() + " of " + wanted + " proxies");
             }
             Thread.sleep(POLL_MS);
-            bound = fleet.proxies().figures().bound();
+            now = fleet.proxies().figures();
         }
         report.add(name, (System.nanoTime() - startNs) / 1e6, "ms");
     }
--- a/src/bench/java/pearusher/scale/Fleet.java
+++ b/src/bench/java/pearusher/scale/Fleet.java
@@ -115,7 +115,7 @@
         int[] servers = catalog.inService().stream().mapToInt(Integer::intValue).toArray();
         List<AssignerAddress> addresses = new ArrayList<>();
         members.forEach(one -> addresses.add(new AssignerAddress(one.place.listen(), one.traffic)));
-        hollowAssigners = new HollowAssigners(new HollowAssigners.Shape(run.hollowAssigners(), run.classes(),
+        hollowAssigners = new HollowAssigners(new HollowAssigners.Shape(run.hollowAssigners(),
                 run.get(RunKey.HOLLOW_UPDATES), run.get(RunKey.HOLLOW_LINES), periodNs, run.seed()),
                 discovery, servers);
         addresses.addAll(hollowAssigners.addresses());
--- a/src/bench/java/pearusher/scale/HollowAssigners.java
+++ b/src/bench/java/pearusher/scale/HollowAssigners.java
@@ -1,11 +1,11 @@
 package pearusher.scale;
 
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -18,12 +18,11 @@
     private static final byte[] PING = Words.bytes("ping");
     private static final byte[] JOINED = Words.bytes("joined");
     private static final byte[] PONG = RespWriter.message("pong");
-    /** As many digits as real weights have on average. */
-    private static final String WEIGHT = "%.7f";
+    private static final double WEIGHT_SPREAD = 1;
     private static final int MOST_MARK = 65_535;
 
     /** How many there are, and what they write. */
-    record Shape(int count, int classes, double updatesPerPeriod, double linesPerUpdate, long periodNs,
+    record Shape(int count, double updatesPerPeriod, double linesPerUpdate, long periodNs,
             long seed) { }
 
     private final EventLoop loop = new EventLoop("hollow-assigners");
@@ -89,8 +88,8 @@
     }
 
     private byte[] bind() {
-        return RespWriter.message("update", "classes", allClasses(), "whole", "1", "lines",
-                table(servers.length), "ticket", Integer.toString(nextMark()));
+        return RespWriter.message("update", "whole", "1", "lines", table(servers.length, 0), "ticket",
+                Integer.toString(nextMark()));
     }
 
     private void lines() {
@@ -101,30 +100,28 @@
             return;
         }
         for (Peer proxy : List.copyOf(proxies)) {
-            proxy.connection.send(RespWriter.message("update", "classes", allClasses(), "lines", table(count),
-                    "ticket", Integer.toString(nextMark())));
+            proxy.connection.send(RespWriter.message("update", "lines", table(count, WEIGHT_SPREAD), "ticket",
+                    Integer.toString(nextMark())));
         }
     }
 
-    private String allClasses() {
-        StringBuilder out = new StringBuilder();
-        for (int k = 0; k < shape.classes(); k++) {
-            out.append(k == 0 ? "" : "+").append(Words.className(k));
-        }
-        return out.toString();
-    }
-
-    /** So many lines from a server drawn on, with weights as long as real ones. */
-    private String table(int count) {
+    /** So many lines from a server drawn on: a real one's weights are even at first, and spread later. */
+    private String table(int count, double spread) {
         StringBuilder out = new StringBuilder(22 * count);
         int first = count < servers.length ? random.nextInt(servers.length) : 0;
         for (int k = 0; k < count; k++) {
             out.append(k == 0 ? "" : ",").append(ServerCatalog.name(servers[(first + k) % servers.length]))
-                    .append(':').append(String.format(Locale.ROOT, WEIGHT, 0.5 + random.nextDouble()));
+                    .append(':').append(weight(spread));
         }
         return out.toString();
     }
 
+    /** A share of one for each server, as text like a real one's: a float without an exponent. */
+    private String weight(double spread) {
+        float weight = (float) ((1 + spread * (random.nextDouble() - 0.5)) / servers.length);
+        return new BigDecimal(Float.toString(weight)).toPlainString();
+    }
+
     /** A server drains: every proxy hears so. */
     void drains(int server) {
         loop.execute(() -> {
--- a/src/bench/java/pearusher/scale/HollowProxies.java
+++ b/src/bench/java/pearusher/scale/HollowProxies.java
@@ -266,6 +266,14 @@
         });
     }
 
+    /** Proxies that are bound to an assigner, by its place in the list. */
+    int boundAt(int assigner) throws InterruptedException {
+        int[] out = new int[1];
+        loop.executeAndWait(() -> out[0] = (int) proxies.stream()
+                .filter(proxy -> proxy.isBound && proxy.home == assigner).count());
+        return out[0];
+    }
+
     /** All proxies of a zone vanish. */
     void loseZone(int zone) {
         loop.execute(() -> proxies.stream().filter(p -> p.zone == zone).forEach(Proxy::lose));
