Scale run: a cut may spare the proxies; unread bytes are told; JSON names the run

Bytes that an assigner has not read at the window's end are told beside its processor time, since work that was not done must not look cheap. Kernel buffers of watchers are bounded: thousands of them would hold gigabytes of the list.

--- a/Makefile
+++ b/Makefile
@@ -43,4 +43,4 @@
 ROOT ?= .
 scale: bench-classes
 	java -Xmx2g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.scale.ScaleCommand --root $(ROOT) \
-		$(if $(QUICK),--quick) $(ARGS)
+		--json target/scale.json --charts target/scale $(if $(QUICK),--quick) $(ARGS)
--- a/src/bench/java/pearusher/scale/Connection.java
+++ b/src/bench/java/pearusher/scale/Connection.java
@@ -53,6 +53,15 @@
         return !waiting.isEmpty();
     }
 
+    /** Bounds what the system keeps for us unread. */
+    void receiveBuffer(int bytes) {
+        try {
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, bytes);
+        } catch (IOException e) {
+            end(e);
+        }
+    }
+
     void finishConnect() {
         try {
             if (channel.finishConnect()) {
--- a/src/bench/java/pearusher/scale/EventLoop.java
+++ b/src/bench/java/pearusher/scale/EventLoop.java
@@ -23,6 +23,8 @@
  */
 final class EventLoop implements AutoCloseable {
     private static final int READ_BUFFER_BYTES = 256 << 10;
+    /** Thousands of watchers would else hold gigabytes of the list in the system's buffers. */
+    private static final int SEND_BUFFER_BYTES = 256 << 10;
     private static final int ACCEPT_BACKLOG = 4096;
     private static final long JOIN_MS = 5_000;
 
@@ -113,6 +115,7 @@
     private void accept(ServerSocketChannel server, Function<Connection, Connection.Handler> handlers) {
         try {
             for (SocketChannel channel = server.accept(); channel != null; channel = server.accept()) {
+                channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER_BYTES);
                 Connection connection = register(channel, SelectionKey.OP_READ);
                 connection.handler(handlers.apply(connection));
                 connection.handler().opened(connection);
--- a/src/bench/java/pearusher/scale/Failures.java
+++ b/src/bench/java/pearusher/scale/Failures.java
@@ -101,15 +101,20 @@
         awaitBound("zone_back_to_all_bound", startNs, 0);
     }
 
-    /** The region is off: discovery, collectors and proxies fall silent, and come back by new connections. */
+    /** What is beyond the cut falls silent, and comes back by new connections. */
     private void cut(boolean begins) throws InterruptedException, LimitReached {
         long startNs = System.nanoTime();
         watching = begins ? fleet.discovery().watching() : watching;
         fleet.discovery().loop().executeAndWait(() -> fleet.discovery().cut(begins));
-        fleet.collectors().cut(begins);
-        fleet.proxies().cut(begins);
-        if (!begins) {
+        boolean proxies = fleet.run().get(RunKey.CUT_PROXIES) > 0;
+        if (proxies) {
+            fleet.collectors().cut(begins);
+            fleet.proxies().cut(begins);
+        }
+        if (!begins && proxies) {
             awaitBound("cut_back_to_all_bound", startNs, 0);
+        }
+        if (!begins) {
             awaitWatching(startNs);
         }
     }
--- a/src/bench/java/pearusher/scale/HollowWatchers.java
+++ b/src/bench/java/pearusher/scale/HollowWatchers.java
@@ -15,6 +15,7 @@
  */
 final class HollowWatchers implements AutoCloseable {
     private static final int DIGITS = 3;
+    private static final int RECEIVE_BUFFER_BYTES = 128 << 10;
     private static final long REDIAL_NS = 500_000_000L;
     /** The generation stands within so many bytes of a line. */
     private static final int PREFIX_BYTES = 48;
@@ -62,6 +63,7 @@
 
         @Override
         public void opened(Connection made) {
+            made.receiveBuffer(RECEIVE_BUFFER_BYTES);
             String request = "GET /catalog/members?follow=1&since=" + generation + " HTTP/1.1\r\n"
                     + "Host: discovery\r\nAccept: application/json\r\n\r\n";
             made.send(request.getBytes(StandardCharsets.US_ASCII));
--- a/src/bench/java/pearusher/scale/ProcessFigures.java
+++ b/src/bench/java/pearusher/scale/ProcessFigures.java
@@ -14,6 +14,9 @@
     /** Of /proc/PID/stat, counted behind the name in brackets: user and system time. */
     private static final int USER_TICKS = 11;
     private static final int SYSTEM_TICKS = 12;
+    private static final int STATE = 3;
+    private static final String ESTABLISHED = "01";
+    private static final int QUEUES = 4;
     private static final long JCMD_S = 60;
 
     private ProcessFigures() { }
@@ -54,6 +57,29 @@
         throw new IOException("no MemAvailable in /proc/meminfo");
     }
 
+    /** Bytes that have come to a local port and were not read yet, over all its connections. */
+    static long unreadBytes(int port) throws IOException {
+        long out = 0;
+        for (String table : new String[] {"tcp", "tcp6"}) {
+            Path file = Path.of("/proc", "net", table);
+            if (Files.exists(file)) {
+                for (String line : Files.readAllLines(file)) {
+                    out += unread(line.strip().split("\\s+"), port);
+                }
+            }
+        }
+        return out;
+    }
+
+    /** Of a line of /proc/net/tcp: the address, then the two queues, in hexadecimal. */
+    private static long unread(String[] fields, int port) {
+        boolean connected = fields.length > QUEUES && fields[STATE].equals(ESTABLISHED);
+        if (!connected || Integer.parseInt(fields[1].substring(fields[1].indexOf(':') + 1), 16) != port) {
+            return 0;
+        }
+        return Long.parseLong(fields[QUEUES].substring(fields[QUEUES].indexOf(':') + 1), 16);
+    }
+
     /** Bytes of live objects, or -1 where the process can't be asked. It makes a full collection. */
     static long liveHeapBytes(long pid) throws IOException, InterruptedException {
         Path jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd");
--- a/src/bench/java/pearusher/scale/Report.java
+++ b/src/bench/java/pearusher/scale/Report.java
@@ -77,11 +77,16 @@
         return String.format(Locale.ROOT, "%." + Math.min(9, decimals) + "f", value);
     }
 
-    void writeJson(Path file) throws IOException {
+    void writeJson(Path file, RunDescription run) throws IOException {
         try (JsonGenerator to = new JsonFactory().createGenerator(file.toFile(),
                 com.fasterxml.jackson.core.JsonEncoding.UTF8)) {
             to.useDefaultPrettyPrinter();
             to.writeStartObject();
+            to.writeObjectFieldStart("run");
+            for (RunKey key : RunKey.values()) {
+                to.writeNumberField(key.key(), run.get(key));
+            }
+            to.writeEndObject();
             to.writeArrayFieldStart("figures");
             for (Figure one : figures) {
                 to.writeStartObject();
--- a/src/bench/java/pearusher/scale/RunKey.java
+++ b/src/bench/java/pearusher/scale/RunKey.java
@@ -24,6 +24,7 @@
     ZONE_LOST_FOR("zone-lost-for", "5", 1, 3_600, "seconds until it is back"),
     CUT_AT("cut-at", "-1", -1, 3_600, "second at which the region is cut off; -1: never"),
     CUT_FOR("cut-for", "8", 1, 3_600, "seconds until it is back"),
+    CUT_PROXIES("cut-proxies", "1", 0, 1, "1: proxies and collectors are beyond it too; 0: discovery is"),
     KNOWN("known", "1", 0, 1, "1: the assigner's file lists all servers as known; 0: none"),
     HEAP("heap", "1", 0, 1, "1: live heap is asked for after the window"),
     SOCKETS("sockets", "1024", 128, 65_536, "descriptors that an assigner is allowed by its file"),
--- a/src/bench/java/pearusher/scale/ScaleCommand.java
+++ b/src/bench/java/pearusher/scale/ScaleCommand.java
@@ -93,15 +93,17 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        ScaleRun.Outcome outcome;
         try {
-            outcome = execute();
+            return show(execute());
         } catch (RunDescription.Fault e) {
             throw new ParameterException(spec.commandLine(), e.getMessage());
         }
+    }
+
+    private int show(ScaleRun.Outcome outcome) throws IOException, RunDescription.Fault {
         outcome.report().print(System.out);
         if (json != null) {
-            outcome.report().writeJson(json);
+            outcome.report().writeJson(json, description());
         }
         if (!outcome.reached()) {
             System.err.println("scale: " + outcome.limit());
--- a/src/bench/java/pearusher/scale/StandInDiscovery.java
+++ b/src/bench/java/pearusher/scale/StandInDiscovery.java
@@ -120,10 +120,7 @@
     void changed(List<Integer> servers) {
         catalog.nextGeneration();
         changes.add(new Change(catalog.generation(), List.copyOf(servers)));
-        byte[] chunk = chunk(catalog.changes(servers));
-        for (Watch watch : List.copyOf(watches)) {
-            watch.tell(chunk, Traffic.Kind.LIST_CHANGE);
-        }
+        tellAll(chunk(catalog.changes(servers)), Traffic.Kind.LIST_CHANGE);
     }
 
     /** From now on nothing is read or written; at the end of the cut all connections are reset. */
@@ -143,8 +140,15 @@
     }
 
     private void beat() {
-        for (Watch watch : List.copyOf(watches)) {
-            watch.tell(BEAT, Traffic.Kind.LIST_BEAT);
+        tellAll(BEAT, Traffic.Kind.LIST_BEAT);
+    }
+
+    /** During a cut nothing leaves, so nothing is counted. */
+    private void tellAll(byte[] chunk, Traffic.Kind kind) {
+        if (!cut) {
+            for (Watch watch : List.copyOf(watches)) {
+                watch.tell(chunk, kind);
+            }
         }
     }
 
--- a/src/bench/java/pearusher/scale/Window.java
+++ b/src/bench/java/pearusher/scale/Window.java
@@ -37,6 +37,9 @@
             if (begin.process() == begin.member().process() && begin.process().alive()) {
                 long ticks = ProcessFigures.ticks(begin.process().pid()) - begin.ticks();
                 processor(report, name, ticks * ProcessFigures.TICK_MS, seconds, traffic);
+                // Lines that were sent and not read are no work done: with many the figures mislead.
+                report.add(name + "unread_end",
+                        ProcessFigures.unreadBytes(begin.process().address().getPort()), "B");
             }
         }
         List<AssignerAddress> addresses = fleet.hollowAssigners().addresses();
