Exchange: event loop, reports, streams, list versions and orders apart

EventLoop now holds the queue, the clock and the turns, TimerQueue the module's timers, ReportQueue the bound on waiting reports, ReportIntake the way of a report to the module, StreamMembership which stream speaks for which proxy, ServerListState the version of the held list and the watch, TableOrders the orders to tables and ledger. Behaviour, log lines and the interfaces that tests use are unchanged; a report on a listed server by the intake costs one look-up less.

--- a/src/main/java/pearusher/serve/Exchange.java
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -4,13 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.TreeMap;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -20,21 +15,16 @@
 import org.tinylog.Logger;
 import pearusher.Assigner;
 import pearusher.intake.Item;
-import pearusher.intake.Sums;
-import pearusher.recovery.Level;
-import pearusher.recovery.Rejoin;
 
 /**
- * The only place where the server side, the client side and the module meet. It owns the module, its clock
- * and its timers, and the one thread on which the module runs: events wait in a queue, those of one tick make
- * a turn, close is called once a turn, and the turn's orders go out. It must never do input or output itself,
- * decide anything, nor go on after the module failed.
+ * The only place where the server side, the client side and the module meet. It owns the module, hands events
+ * to the one thread on which that runs ({@link EventLoop}), and there passes them on, and the module's orders
+ * back: for the streams of proxies to {@link StreamMembership}, for reports to {@link ReportIntake}, for the
+ * versions of lists to {@link ServerListState}, for tables and ledger to {@link TableOrders}. It must never
+ * do input or output itself, decide anything, nor go on after the module failed. It grows with the servers
+ * that are listed.
  */
 class Exchange implements Assigner.Orders {
-    /** Reports that may wait; more are dropped and counted, so that a flood can't fill the memory. */
-    private static final int MOST_REPORTS = 20_000;
-    /** Most ticks of the settings for which a turn waits for more of a burst. */
-    private static final int MOST_TICKS = 4;
     private static final Pattern SERVER = Pattern.compile("\\bserver ([0-9a-f]+)\\b");
 
     /** A proxy's stream, on the server side. Calls come from the decision thread and must not block. */
@@ -64,44 +54,55 @@
         void tell(int peer, byte[] body);
     }
 
-    private record Timer(long due, long order, long token) { }
+    /** What a turn is made of. */
+    private final class Turn implements EventLoop.Handler {
+        @Override
+        public void pause() throws InterruptedException {
+            Exchange.this.pause();
+        }
+
+        @Override
+        public boolean isFlooded() {
+            return reports.isFlooded();
+        }
+
+        @Override
+        public void serveFlood() {
+            reports.serveFlood();
+        }
+
+        @Override
+        public void timer(long token) {
+            module.timer(loop.nowUs(), token);
+        }
+
+        @Override
+        public void close() {
+            Exchange.this.close();
+        }
+    }
 
     private final Config config;
-    private final LongSupplier clock;
-    private final Consumer<Throwable> failed;
     private final BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker;
-    private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
-    private final AtomicInteger reports = new AtomicInteger();
-    private final AtomicLong dropped = new AtomicLong();
-    private final AtomicBoolean flooded = new AtomicBoolean();
+    private final EventLoop loop;
+    private final ReportQueue queue;
+    private final ReportIntake reports;
 
     // All below belongs to the decision thread.
     private final Map<String, Long> ids = new HashMap<>();
     /** Names by number; a number is never used again for another server. */
     private final Map<Long, String> servers = new HashMap<>();
     private final Map<Long, Message.Instance> addresses = new HashMap<>();
-    private final Map<Integer, Stream> streams = new HashMap<>();
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> a.due() != b.due()
-            ? Long.compare(a.due(), b.due()) : Long.compare(a.order(), b.order()));
     private final Tables tables;
+    private final StreamMembership streams;
+    private final TableOrders orders;
+    private final ServerListState listState;
     /** What lasts, where the operators switched it on; else null. */
     private final Durable durable;
-    /** Where reports wait, where the operators switched it on; else null, and they wait in the queue. */
-    private final Waiting intake;
-    private Consumer<Item> hearing = item -> { };
     private Assigner module;
     private Calls calls;
     private Mail mail;
-    private long now;
-    private long timersMade;
-    private long generation;
-    /** Since when discovery has begun its watches with older lists only; -1: it does not. */
-    private long olderSince = -1;
     private long serversMade;
-    /** Answers to marks that could not be. */
-    private long answers;
-    /** The module has asked for a watch that has not failed since. */
-    private boolean watching;
 
     Exchange(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker,
             LongSupplier clock, Consumer<Throwable> failed) {
@@ -111,12 +112,16 @@
     Exchange(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker,
             LongSupplier clock, Consumer<Throwable> failed, Durable durable, Waiting intake) {
         this.durable = durable;
-        this.intake = intake;
         this.config = config;
-        this.clock = clock;
-        this.failed = failed;
         this.maker = maker;
+        loop = new EventLoop(clock, failed, new Turn());
+        queue = new ReportQueue(loop);
+        reports = new ReportIntake(loop, queue, intake, config.settings().periodUs(), () -> module, ids::get);
         tables = new Tables(config.names().classes(), servers::get);
+        streams = new StreamMembership(loop, tables, durable, () -> module, this::numbers);
+        orders = new TableOrders(tables, durable, config.names().classes().size(), servers::get,
+                this::numbers);
+        listState = new ServerListState(config.settings().limits().askWithinUs());
     }
 
     /** Microseconds of Unix time, read once and carried on by a clock that never runs back. */
@@ -133,12 +138,12 @@
 
     /** Starts the module with the list last known and takes its first turn, on the caller's thread. */
     void begin() {
-        now = clock.getAsLong();
+        loop.begin();
         module = maker.apply(config.settings(), this);
         Message.Listing known = durable == null ? config.known() : durable.known();
         list(Assigner.ListForm.CACHED, known);
         if (durable != null) {
-            durable.restore(now, known, ids, tables, module);
+            durable.restore(loop.nowUs(), known, ids, tables, module);
         }
         if (!config.settings().listOnRequest()) {
             // Where changes come unasked the module doesn't ask for them.
@@ -149,57 +154,12 @@
 
     /** The decision thread's work, until it is interrupted or the module fails. */
     void run() {
-        try {
-            while (!Thread.currentThread().isInterrupted()) {
-                turn();
-            }
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-        } catch (RuntimeException | Error failure) {
-            failed.accept(failure);
-        }
+        loop.run();
     }
 
     /** Waits for an event or a timer; what comes without a tick's pause is one turn. */
     void turn() throws InterruptedException {
-        long wait = timers.isEmpty() ? Long.MAX_VALUE : timers.peek().due() - clock.getAsLong();
-        boolean flooded = intake != null && intake.flooded();
-        wait = flooded ? Math.min(wait, Waiting.SERVE_US) : wait;
-        Runnable first = wait <= 0 ? queue.poll() : queue.poll(wait, TimeUnit.MICROSECONDS);
-        if (first != null) {
-            gather();
-        }
-        boolean acted = first != null;
-        now = Math.max(now, clock.getAsLong());
-        // A flood makes several turns, so that timers and orders are not held up by it.
-        for (int k = 1; first != null; k++) {
-            first.run();
-            first = k < MOST_REPORTS ? queue.poll() : null;
-        }
-        if (flooded) {
-            intake.serve(now, this::hear);
-            acted = true;
-        }
-        while (!timers.isEmpty() && timers.peek().due() <= now) {
-            module.timer(now, timers.poll().token());
-            acted = true;
-        }
-        if (acted) {
-            close();
-        }
-    }
-
-    /**
-     * Lets the rest of a burst come: the reports of one instant reach the simulator's module in one batch,
-     * here by several connections within some milliseconds. Guards against a pass that sees a part of a
-     * period's reports and keeps the others for the next. While events keep coming it ends after a few ticks.
-     */
-    private void gather() throws InterruptedException {
-        int before = -1;
-        for (int tick = 0; tick < MOST_TICKS && queue.size() != before; tick++) {
-            before = queue.size();
-            pause();
-        }
+        loop.turn();
     }
 
     void pause() throws InterruptedException {
@@ -207,11 +167,12 @@
     }
 
     private void close() {
+        long now = loop.nowUs();
         module.close(now);
         if (durable == null) {
-            tables.turn(now, (proxy, message) -> streams.get(proxy).send(message));
+            tables.turn(now, (proxy, message) -> streams.stream(proxy).send(message));
         } else {
-            tables.turn(now, (proxy, message) -> durable.send(proxy, streams.get(proxy), message));
+            tables.turn(now, (proxy, message) -> durable.send(proxy, streams.stream(proxy), message));
             durable.turn(now);
         }
     }
@@ -220,42 +181,20 @@
 
     /** Work for the decision thread, at the next turn. */
     void event(Runnable what) {
-        queue.add(what);
+        loop.add(what);
     }
 
     long dropped() {
-        return dropped.get();
+        return queue.dropped();
     }
 
     int waiting() {
-        return queue.size();
+        return loop.waiting();
     }
 
-    /**
-     * Guards against joinings that are read in another order than they came: a proxy that was cut off right
-     * after it joined dials again, and both connections may be read at once. The dead one would take the
-     * place of the good one, and its end would unseat the proxy.
-     */
+    /** A proxy's stream has said whose it is. */
     void joined(Stream stream, Message.Joined what) {
-        event(() -> {
-            Stream old = streams.get(what.proxy());
-            if (old != null && old.taken() > stream.taken()) {
-                stream.replaced();
-                return;
-            }
-            streams.put(what.proxy(), stream);
-            if (old != null) {
-                module.left(now, what.proxy());
-                old.replaced();
-            }
-            tables.joined(what.proxy());
-            module.joined(now, what.proxy(), what.zone(), what.perS(), what.fresh());
-            Rejoin lacks = durable == null ? null : durable.joined(what.proxy(), what.fresh());
-            if (lacks != null) {
-                tables.told(what.proxy(), numbers(lacks.told()));
-                module.holds(now, what.proxy(), lacks.table(), lacks.cost());
-            }
-        });
+        event(() -> streams.joined(stream, what));
     }
 
     /** Servers by number, those that are still listed. */
@@ -271,53 +210,12 @@
 
     /** A stream ended; one whose proxy has joined anew since then unseats nobody. */
     void ended(Stream stream, int proxy) {
-        event(() -> {
-            if (streams.remove(proxy, stream)) {
-                tables.left(proxy);
-                module.left(now, proxy);
-                if (durable != null) {
-                    durable.left(proxy);
-                }
-            }
-        });
+        event(() -> streams.ended(stream, proxy));
     }
 
     /** Counted with the reports: a proxy that answers without end fills no memory either. */
     void applied(Stream stream, Message.Applied what) {
-        report(() -> {
-            if (streams.get(what.proxy()) != stream) {
-                return;
-            }
-            if (!tables.answered(now, what.proxy(), what.mark(), what.tookUs())) {
-                if (Long.bitCount(++answers) == 1) {
-                    Logger.warn("answers dropped: {} so far, the last of proxy {}: no mark {} is {} us old",
-                            answers, what.proxy(), what.mark(), what.tookUs());
-                }
-            } else {
-                if (durable != null) {
-                    durable.applied(what.proxy(), what.mark());
-                }
-                module.applied(now, what.proxy(), what.mark(), what.tookUs());
-            }
-        });
-    }
-
-    private void report(Runnable what) {
-        if (reports.incrementAndGet() > MOST_REPORTS) {
-            reports.decrementAndGet();
-            dropped.incrementAndGet();
-            if (flooded.compareAndSet(false, true)) {
-                Logger.warn("reports dropped: {} wait, more are dropped from here on", MOST_REPORTS);
-            }
-            return;
-        }
-        event(() -> {
-            // Over once half of them are through: at the brim it would begin and end with each report.
-            if (reports.decrementAndGet() <= MOST_REPORTS / 2 && flooded.compareAndSet(true, false)) {
-                Logger.warn("reports dropped no more: {} in all", dropped.get());
-            }
-            what.run();
-        });
+        queue.add(() -> streams.applied(stream, what));
     }
 
     /** A report on a server that no list has named yet is dropped: the proxies' list may be newer. */
@@ -327,18 +225,7 @@
 
     /** {@code origin}: the proxy, or a number below 0 that is the collector's own. */
     void heard(Message.Heard what, int origin) {
-        if (intake != null) {
-            intake.offer(new Item(origin, new Item.Tries(what.server(), what.zone()), Sums.of(what.tries(),
-                    what.failed(), what.meanUs(), what.spanUs(), what.load())), this::wake);
-            return;
-        }
-        report(() -> {
-            Long server = ids.get(what.server());
-            if (server != null) {
-                module.heard(now, server, what.zone(), what.tries(), what.failed(), what.spanUs(),
-                        what.meanUs(), what.load());
-            }
-        });
+        reports.heard(what, origin);
     }
 
     void usage(Message.Usage what) {
@@ -346,45 +233,12 @@
     }
 
     void usage(Message.Usage what, int origin) {
-        if (intake != null) {
-            // Those that failed may be more than came: there is no mean to be weighted by the good ones.
-            intake.offer(new Item(origin, new Item.Requests(what.proxy(), what.grade()),
-                    new Sums(what.tries(),
-                    what.failed(), 0, what.spanUs(), 1, new float[0], 0)), this::wake);
-            return;
-        }
-        report(() -> module.usage(now, what.proxy(), what.grade(), what.tries(), what.failed(),
-                what.spanUs()));
-    }
-
-    private void wake() {
-        event(() -> intake.next(now, this::hear));
+        reports.usage(what, origin);
     }
 
     /** Tells a test of each report that has its turn, on the decision thread. */
     void hearing(Consumer<Item> listener) {
-        hearing = listener;
-    }
-
-    /** A report has its turn. A server that no list has named yet is passed over, as ever. */
-    private void hear(Item item) {
-        Sums sums = item.sums();
-        hearing.accept(item);
-        if (item.about() instanceof Item.Requests requests) {
-            // A rate of long ago says nothing of now, whatever it is counted for.
-            if (item.ageUs() > Waiting.OLD_USAGE_PERIODS * config.settings().periodUs()) {
-                return;
-            }
-            module.usage(now, requests.proxy(), requests.grade(), sums.tries(), sums.failed(), sums.spanUs());
-        } else if (item.about() instanceof Item.Tries tries && ids.containsKey(tries.server())) {
-            if (item.ageUs() == 0) {
-                module.heard(now, ids.get(tries.server()), tries.zone(), sums.tries(), sums.failed(),
-                        sums.spanUs(), sums.meanUs(), sums.load());
-                return;
-            }
-            module.heard(now, ids.get(tries.server()), tries.zone(), sums.tries(), sums.failed(),
-                    sums.spanUs(), sums.meanUs(), sums.load(), item.ageUs());
-        }
+        reports.listen(listener);
     }
 
     /** What discovery says, on a watch or as the whole list; older than what is held: passed over. */
@@ -402,37 +256,23 @@
             if (!counts.getAsBoolean()) {
                 return;
             }
-            boolean old = what.generation() < generation;
-            if (old && what.whole() && begins) {
-                older(what);
-                return;
+            switch (listState.compare(what, begins, loop.nowUs())) {
+                case CURRENT -> list(what.whole() ? Assigner.ListForm.WHOLE : Assigner.ListForm.CHANGES,
+                        what);
+                case OUTDATED -> list(Assigner.ListForm.CHANGES,
+                        new Message.Listing(listState.generation(), false, List.of()));
+                case RESTARTED -> list(Assigner.ListForm.WHOLE, what);
+                case LAGGING -> {
+                    calls.watch(false, listState.generation());
+                    tellListFailed();
+                }
             }
-            olderSince = old ? olderSince : -1;
-            Message.Listing use = old ? new Message.Listing(generation, false, List.of()) : what;
-            list(use.whole() ? Assigner.ListForm.WHOLE : Assigner.ListForm.CHANGES, use);
         });
     }
 
-    /**
-     * A new watch begins with a whole list that is older than the one held: a discovery that lags, whose list
-     * would let drained servers in again, or one that lost its count. The last good list stays and it is
-     * asked again; who says nothing newer for as long as an assigner may go without asking has started anew.
-     */
-    private void older(Message.Listing what) {
-        olderSince = olderSince < 0 ? now : olderSince;
-        if (now - olderSince >= config.settings().limits().askWithinUs()) {
-            Logger.warn("discovery began anew: generation {} after {}", what.generation(), generation);
-            olderSince = -1;
-            list(Assigner.ListForm.WHOLE, what);
-            return;
-        }
-        if (olderSince == now) {
-            Logger.warn("discovery older: generation {} after {}, passed over", what.generation(),
-                    generation);
-        }
-        calls.watch(false, generation);
-        watching = false;
-        module.listed(now, Assigner.ListForm.FAILED, List.of());
+    private void tellListFailed() {
+        listState.setWatching(false);
+        module.listed(loop.nowUs(), Assigner.ListForm.FAILED, List.of());
     }
 
     /** A call to discovery, or the watch, ended without what it was for. */
@@ -444,8 +284,7 @@
     void listFailed(BooleanSupplier counts) {
         event(() -> {
             if (counts.getAsBoolean()) {
-                watching = false;
-                module.listed(now, Assigner.ListForm.FAILED, List.of());
+                tellListFailed();
             }
         });
     }
@@ -456,22 +295,22 @@
      */
     void moved() {
         event(() -> {
-            if (watching) {
-                calls.watch(true, generation);
+            if (listState.isWatching()) {
+                calls.watch(true, listState.generation());
             }
         });
     }
 
     void probed(long server, Ending ending, long tookUs, float[] load) {
-        event(() -> module.probed(now, server, ending.probe(), tookUs, load));
+        event(() -> module.probed(loop.nowUs(), server, ending.probe(), tookUs, load));
     }
 
     void told(int peer, byte[] body) {
-        report(() -> module.told(now, peer, body));
+        queue.add(() -> module.told(loop.nowUs(), peer, body));
     }
 
     private void list(Assigner.ListForm form, Message.Listing what) {
-        generation = what.generation();
+        listState.hold(what.generation());
         List<Assigner.Entry> entries = new ArrayList<>();
         for (Message.Instance one : what.instances()) {
             // That a server is gone which nobody knows says nothing, and would be kept for good.
@@ -489,43 +328,29 @@
         if (durable != null) {
             durable.listed(what);
         }
-        module.listed(now, form, entries);
+        module.listed(loop.nowUs(), form, entries);
     }
 
     // Orders, from the module.
 
     @Override
     public void line(int table, long server, double weight) {
-        tables.line(table, server, weight);
-        if (durable != null) {
-            durable.ledger().line(table, servers.get(server), weight);
-        }
+        orders.line(table, server, weight);
     }
 
     @Override
     public void clear(int table) {
-        tables.clear(table);
-        if (durable != null) {
-            durable.ledger().clear(table);
-        }
+        orders.clear(table);
     }
 
     @Override
     public void withdraw(long server, boolean out) {
-        tables.withdraw(server, out);
-        if (durable != null) {
-            durable.ledger().withdraw(servers.get(server), out, now);
-        }
+        orders.withdraw(loop.nowUs(), server, out);
     }
 
     @Override
     public void bind(int proxy, int table, int classBits) {
-        Rejoin lacks = durable == null ? null : durable.bound(proxy, table, tables.all(classBits));
-        if (lacks == null) {
-            tables.bind(proxy, table, classBits);
-            return;
-        }
-        tables.adopt(proxy, lacks, numbers(lacks.words()));
+        orders.bind(proxy, table, classBits);
     }
 
     @Override
@@ -540,26 +365,18 @@
 
     @Override
     public void admit(int table, int classBits, double level, int retry) {
-        tables.admit(table, classBits, level, retry);
-        for (int k = 0; durable != null && k < config.names().classes().size(); k++) {
-            if ((classBits == 0 || (classBits >> k & 1) != 0) && table != Tables.ALL) {
-                durable.ledger().admit(table, k, new Level(level, retry));
-            }
-        }
+        orders.admit(table, classBits, level, retry);
     }
 
     @Override
     public void mark(int number, boolean toAll) {
-        tables.mark(number, toAll);
-        if (durable != null) {
-            durable.ledger().mark(number);
-        }
+        orders.mark(number, toAll);
     }
 
     @Override
     public void watch(boolean on) {
-        watching = on;
-        calls.watch(on, generation);
+        listState.setWatching(on);
+        calls.watch(on, listState.generation());
     }
 
     @Override
@@ -574,7 +391,7 @@
 
     @Override
     public void timer(long delayUs, long token) {
-        timers.add(new Timer(now + Math.max(0, delayUs), timersMade++, token));
+        loop.setTimer(delayUs, token);
     }
 
     /** Every server is replaced in time: what is kept of one goes with it. */
@@ -590,7 +407,7 @@
 
     /** What is kept by server, proxy and timer, for tests of what must not grow. */
     List<Integer> sizes() {
-        return List.of(ids.size(), servers.size(), addresses.size(), streams.size(), timers.size(),
+        return List.of(ids.size(), servers.size(), addresses.size(), streams.size(), loop.timers(),
                 tables.size());
     }
 
