Tables: a table, a proxy's stream, ejections and the composing of messages apart

TableState is one table, ProxyStreamState what a proxy's stream follows, was told and owes answers to, EjectionState the servers that are out, back or in doubt, GlobalLevels the levels for all, RequestClasses the writing of sets of classes, UpdateComposer the message of a turn. The key of a group of classes and the marks, before a list of objects and a pair of numbers, are records (TableNeed, OutstandingMark, MarkOrder). Messages are the same.

Measured: TablesTest, ParityTest, GrowthTest, DurableOrdersTest, CrossingTest, ServeTest and RingsTest pass.

--- /dev/null
+++ b/src/main/java/pearusher/serve/TableState.java
@@ -0,0 +1,54 @@
+package pearusher.serve;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * One table as it is ordered: its lines, its levels, and what of them changed this turn. Only the decision
+ * thread uses it. It grows with the servers that the table lists.
+ */
+final class TableState {
+    /** Weights by server. */
+    final Map<Long, Double> lines = new TreeMap<>();
+    /** By class; null where none was ordered. */
+    final Message.Level[] levels;
+    /** Servers whose lines were ordered this turn, also those taken out. */
+    final Set<Long> changed = new TreeSet<>();
+    /** Classes whose levels were ordered this turn. */
+    int changedLevels;
+    /** It was begun anew this turn. */
+    boolean cleared;
+
+    TableState(int classes) {
+        levels = new Message.Level[classes];
+    }
+
+    void line(long server, double weight) {
+        if (weight > 0) {
+            lines.put(server, weight);
+        } else {
+            lines.remove(server);
+        }
+        changed.add(server);
+    }
+
+    void clear() {
+        lines.clear();
+        Arrays.fill(levels, null);
+        cleared = true;
+    }
+
+    /** Whether anything of it was ordered this turn. */
+    boolean isTouched() {
+        return cleared || changedLevels != 0 || !changed.isEmpty();
+    }
+
+    void endTurn() {
+        changed.clear();
+        changedLevels = 0;
+        cleared = false;
+    }
+}
