Streams: accept policy, registry of connections and one connection apart

StreamConnection is one connection (before, the inner class Link), SendQueue what waits to be written there, ConnectionRegistry what connections share: who is unidentified and since when, who owes the rest of a message, who waits for a pong, and the counts of descriptors. AcceptPolicy says who is taken and who goes for it, RejectionLog counts what is refused or dropped. Everything that the lock of the set "strangers" guarded is guarded by the registry's monitor, in the same steps. The tests' changes are names only (Link, links, strangest). Log lines stay.

Measured: CrossingTest, ServeTest, ParityTest, TablesTest, RingsTest, EndingTest and RespTest pass.

--- a/src/test/java/pearusher/serve/CrossingTest.java
+++ b/src/test/java/pearusher/serve/CrossingTest.java
@@ -338,7 +338,7 @@
         for (int k = 0; k < streams.most(); k++) {
             strangers.add(new Stand.Caller(at).reading());
         }
-        Stand.until("all are taken", () -> streams.links() == streams.most());
+        Stand.until("all are taken", () -> streams.connections() == streams.most());
         Stand.Caller newcomer = new Stand.Caller(at).reading();
         newcomer.send("ping");
         Stand.until("its pong", () -> newcomer.came.size() == 1);
@@ -361,9 +361,9 @@
         Streams streams = start().streams();
         module.hear("listed CACHED");
         Stand.ProxyStream one = new Stand.ProxyStream(at, new Stand.Held(CLASSES));
-        List<Streams.Link> chosen = new ArrayList<>();
+        List<StreamConnection> chosen = new ArrayList<>();
         Stand.until("it is chosen", () -> {
-            Streams.Link out = streams.strangest();
+            StreamConnection out = streams.takeEvictionCandidate();
             return out != null && chosen.add(out);
         });
         if (!joinsFirst) {
--- a/src/test/java/pearusher/serve/ServeTest.java
+++ b/src/test/java/pearusher/serve/ServeTest.java
@@ -246,7 +246,7 @@
                 one.close();
             }
         }
-        Stand.until("only the proxy counts", () -> serve.streams().links() == 1);
+        Stand.until("only the proxy counts", () -> serve.streams().connections() == 1);
         assertFalse(first.ended);
     }
 
