Ledger: tables, state by key, outstanding marks and missing orders apart

LedgerTable is one table with its pruning, LedgerState what the store's keys name (their parsing stood twice, it is Values.Key now), OutstandingMarks the marks that proxies owe, before pairs of numbers, MissingOrders what a joiner lacks. Names: ServerWord is ListedServer, Word is Ejection, words and told of a Rejoin are ejections and announced, as told is of a proxy's stream. Values and keys in the store are the same; a key of a table that no program of ours has written is now deleted with the rest where nothing is taken over, before it made that turn fail if its table had been ordered again.

Measured: LedgerTest, OutboxTest, DurableOrdersTest, CrossingTest, TablesTest, ParityTest, GrowthTest and RingsTest pass.

--- a/src/main/java/pearusher/recovery/KnownList.java
+++ b/src/main/java/pearusher/recovery/KnownList.java
@@ -11,7 +11,7 @@
  *
  * @param generation from which discovery is asked for changes; 0: for the whole list
  */
-public record KnownList(long generation, List<ServerWord> servers) {
+public record KnownList(long generation, List<ListedServer> servers) {
 
     /**
      * The newer of two lists. Where the older one says of a server, in the same life of it, that it drains
@@ -25,16 +25,16 @@
         KnownList stored = new KnownList(ledger.generation(), List.copyOf(ledger.servers().values()));
         boolean newer = stored.generation() >= given.generation();
         KnownList base = newer ? stored : given;
-        Map<String, ServerWord> other = new HashMap<>();
+        Map<String, ListedServer> other = new HashMap<>();
         (newer ? given : stored).servers().forEach(s -> other.put(s.name(), s));
-        List<ServerWord> out = new ArrayList<>();
+        List<ListedServer> out = new ArrayList<>();
         boolean settled = true;
-        for (ServerWord one : base.servers()) {
-            ServerWord old = other.get(one.name());
+        for (ListedServer one : base.servers()) {
+            ListedServer old = other.get(one.name());
             boolean worse = old != null && one.state() == Assigner.State.READY && old.state() != one.state()
                     && old.startedUs() >= one.startedUs();
             settled &= !worse;
-            out.add(!worse ? one : new ServerWord(one.name(), one.hostPort(), one.zone(), one.kind(),
+            out.add(!worse ? one : new ListedServer(one.name(), one.hostPort(), one.zone(), one.kind(),
                     one.cell(),
                     old.state(), one.weight(), one.startedUs()));
         }
--- a/src/main/java/pearusher/recovery/Values.java
+++ b/src/main/java/pearusher/recovery/Values.java
@@ -15,13 +15,69 @@
     static final String META = "m";
     static final String LIST = "g";
     static final String SERVER = "s/";
-    static final String WORD = "w/";
+    static final String EJECTION = "w/";
     static final String PROXY = "p/";
     static final String TABLE = "t/";
     static final String LINE = "/l/";
     static final String LEVEL = "/v/";
     static final String FLOOR = "/f";
 
+    /** What a key names. */
+    enum Kind { LINE, LEVEL, FLOOR, OTHER_OF_TABLE, EJECTION, PROXY, SERVER, LIST, OTHER }
+
+    /**
+     * A key, read.
+     *
+     * @param table the table's number, of the first four kinds
+     * @param name what follows: a server's name, or the number of a proxy or class
+     */
+    record Key(Kind kind, int table, String name) {
+        static Key of(String key) {
+            if (key.startsWith(TABLE)) {
+                return ofTable(key);
+            }
+            if (key.startsWith(EJECTION)) {
+                return new Key(Kind.EJECTION, 0, key.substring(EJECTION.length()));
+            }
+            if (key.startsWith(PROXY)) {
+                return new Key(Kind.PROXY, 0, key.substring(PROXY.length()));
+            }
+            if (key.startsWith(SERVER)) {
+                return new Key(Kind.SERVER, 0, key.substring(SERVER.length()));
+            }
+            return new Key(key.equals(LIST) ? Kind.LIST : Kind.OTHER, 0, "");
+        }
+
+        private static Key ofTable(String key) {
+            int end = key.indexOf('/', TABLE.length());
+            int table = Integer.parseInt(key.substring(TABLE.length(), end));
+            String rest = key.substring(end);
+            if (rest.startsWith(LINE)) {
+                return new Key(Kind.LINE, table, rest.substring(LINE.length()));
+            }
+            if (rest.startsWith(LEVEL)) {
+                return new Key(Kind.LEVEL, table, rest.substring(LEVEL.length()));
+            }
+            return new Key(rest.equals(FLOOR) ? Kind.FLOOR : Kind.OTHER_OF_TABLE, table, "");
+        }
+
+        int number() {
+            return Integer.parseInt(name);
+        }
+    }
+
+    static String lineKey(int table, String server) {
+        return TABLE + table + LINE + server;
+    }
+
+    static String levelKey(int table, int grade) {
+        return TABLE + table + LEVEL + grade;
+    }
+
+    static String floorKey(int table) {
+        return TABLE + table + FLOOR;
+    }
+
     /** The ledger as a whole. {@code settings}: names of the assigner, zones and classes. */
     record Meta(long epoch, long turn, long timeUs, int mark, String settings) { }
 
@@ -30,7 +86,7 @@
     record LevelAt(Level level, long turn) { }
 
     /** A server that is out or back. */
-    record Word(boolean out, long turn, long timeUs) { }
+    record Ejection(boolean out, long turn, long timeUs) { }
 
     /** A proxy: its table, the turn that brought it whole, and the last one it has answered for. */
     record Proxy(int table, long whole, long applied) { }
@@ -104,16 +160,16 @@
         return new LevelAt(new Level(from.readDouble(), from.readByte()), from.readLong());
     }
 
-    static byte[] of(Word w) {
+    static byte[] of(Ejection e) {
         return bytes(to -> {
-            to.writeBoolean(w.out());
-            to.writeLong(w.turn());
-            to.writeLong(w.timeUs());
+            to.writeBoolean(e.out());
+            to.writeLong(e.turn());
+            to.writeLong(e.timeUs());
         });
     }
 
-    static Word word(DataInputStream from) throws IOException {
-        return new Word(from.readBoolean(), from.readLong(), from.readLong());
+    static Ejection ejection(DataInputStream from) throws IOException {
+        return new Ejection(from.readBoolean(), from.readLong(), from.readLong());
     }
 
     static byte[] of(Proxy p) {
@@ -128,7 +184,7 @@
         return new Proxy(from.readInt(), from.readLong(), from.readLong());
     }
 
-    static byte[] of(ServerWord s) {
+    static byte[] of(ListedServer s) {
         return bytes(to -> {
             to.writeBoolean(s.hostPort() != null);
             to.writeUTF(s.hostPort() == null ? "" : s.hostPort());
@@ -141,7 +197,7 @@
         });
     }
 
-    static ServerWord server(String name, DataInputStream from) throws IOException {
+    static ListedServer server(String name, DataInputStream from) throws IOException {
         boolean addressed = from.readBoolean();
         String hostPort = from.readUTF();
         int zone = from.readInt();
@@ -151,7 +207,7 @@
         if (state < 0 || state >= Assigner.State.values().length) {
             throw new IOException("no state " + state);
         }
-        return new ServerWord(name, addressed ? hostPort : null, zone, kind, cell,
+        return new ListedServer(name, addressed ? hostPort : null, zone, kind, cell,
                 Assigner.State.values()[state],
                 from.readDouble(), from.readLong());
     }
--- a/src/main/java/pearusher/serve/Durable.java
+++ b/src/main/java/pearusher/serve/Durable.java
@@ -15,9 +15,9 @@
 import pearusher.recovery.KnownList;
 import pearusher.recovery.Ledger;
 import pearusher.recovery.Level;
+import pearusher.recovery.ListedServer;
 import pearusher.recovery.Outbox;
 import pearusher.recovery.Rejoin;
-import pearusher.recovery.ServerWord;
 import pearusher.store.Batch;
 import pearusher.store.Committer;
 import pearusher.store.FileDisk;
@@ -117,7 +117,7 @@
 
     /** The list to begin with. */
     Message.Listing known() {
-        List<ServerWord> given = config.known().instances().stream().map(Durable::word).toList();
+        List<ListedServer> given = config.known().instances().stream().map(Durable::listedServer).toList();
         KnownList merged = KnownList.merge(new KnownList(config.known().generation(), given), ledger);
         return new Message.Listing(merged.generation(), true, merged.servers().stream()
                 .map(s -> new Message.Instance(s.name(), s.hostPort(), s.zone(), s.kind(), s.cell(),
@@ -125,15 +125,15 @@
                         s.weight(), s.startedUs())).toList());
     }
 
-    private static ServerWord word(Message.Instance one) {
-        return new ServerWord(one.server(), one.hostPort(), one.zone(), one.kind(), one.cell(), one.state(),
+    private static ListedServer listedServer(Message.Instance one) {
+        return new ListedServer(one.server(), one.hostPort(), one.zone(), one.kind(), one.cell(), one.state(),
                 one.weight(), one.startedUs());
     }
 
     /** Hands the module and the tables what an earlier process had ordered; names become numbers. */
     void restore(long now, Message.Listing known, Map<String, Long> ids, Tables tables, Assigner module) {
         ledger.begin(known.instances().stream().filter(one -> one.state() != Assigner.State.GONE)
-                .map(Durable::word).toList(), now);
+                .map(Durable::listedServer).toList(), now);
         Set<String> out = ledger.out();
         out.stream().filter(ids::containsKey).forEach(name -> tables.restoreOut(ids.get(name)));
         // With no table there is a mark at least: a proxy must not take a new one for one that it answered.
@@ -181,8 +181,8 @@
     }
 
     void listed(Message.Listing what) {
-        List<ServerWord> words = what.instances().stream().map(Durable::word).toList();
-        ledger.listed(what.generation(), what.whole(), words);
+        List<ListedServer> servers = what.instances().stream().map(Durable::listedServer).toList();
+        ledger.listed(what.generation(), what.whole(), servers);
     }
 
     Ledger ledger() {
--- a/src/main/java/pearusher/serve/ProxyStreamState.java
+++ b/src/main/java/pearusher/serve/ProxyStreamState.java
@@ -28,7 +28,7 @@
     final int[] table;
     final boolean[] whole;
     /** Servers that this stream was told are out (true) or back; no entry: not known. */
-    final Map<Long, Boolean> told = new TreeMap<>();
+    final Map<Long, Boolean> announced = new TreeMap<>();
     /** Only servers doubted at all may be shut out there: the module is sure of the others. */
     boolean sure;
     /** Bound this turn by what it lacks of its table, not by the whole of it. */
@@ -36,7 +36,7 @@
     /** And which servers it must be told are out (true) or back. */
     Map<Long, Boolean> lacksEjections = Map.of();
     /** Classes told the levels for all, as long as no table of ours covers them. */
-    int toldAll;
+    int announcedForAll;
     private final ArrayDeque<OutstandingMark> marks = new ArrayDeque<>();
 
     ProxyStreamState(int classes) {
@@ -103,6 +103,6 @@
 
     /** What is kept: itself, the servers that it was told of, and marks. */
     int size() {
-        return 1 + told.size() + marks.size();
+        return 1 + announced.size() + marks.size();
     }
 }
--- a/src/main/java/pearusher/serve/StreamMembership.java
+++ b/src/main/java/pearusher/serve/StreamMembership.java
@@ -62,7 +62,7 @@
         module.get().joined(loop.nowUs(), what.proxy(), what.zone(), what.perS(), what.fresh());
         Rejoin lacks = durable == null ? null : durable.joined(what.proxy(), what.fresh());
         if (lacks != null) {
-            tables.told(what.proxy(), numbers.apply(lacks.told()));
+            tables.announced(what.proxy(), numbers.apply(lacks.announced()));
             module.get().holds(loop.nowUs(), what.proxy(), lacks.table(), lacks.cost());
         }
     }
--- a/src/main/java/pearusher/serve/TableOrders.java
+++ b/src/main/java/pearusher/serve/TableOrders.java
@@ -55,7 +55,7 @@
             tables.bind(proxy, table, classBits);
             return;
         }
-        tables.adopt(proxy, lacks, numbers.apply(lacks.words()));
+        tables.adopt(proxy, lacks, numbers.apply(lacks.ejections()));
     }
 
     void admit(int table, int classBits, double level, int retry) {
--- a/src/main/java/pearusher/serve/Tables.java
+++ b/src/main/java/pearusher/serve/Tables.java
@@ -45,8 +45,8 @@
     }
 
     /** A stream whose proxy holds a table of ours: it was told before how these servers stand. */
-    void told(int proxy, Map<Long, Boolean> out) {
-        proxies.get(proxy).told.putAll(out);
+    void announced(int proxy, Map<Long, Boolean> out) {
+        proxies.get(proxy).announced.putAll(out);
     }
 
     /** Binds a proxy that holds the table but for what is named: that alone goes to it. */
@@ -71,7 +71,7 @@
 
     void forget(long server) {
         ejections.forget(server);
-        proxies.values().forEach(p -> p.told.remove(server));
+        proxies.values().forEach(p -> p.announced.remove(server));
     }
 
     /** What is kept by server and proxy, lines of tables aside. */
@@ -139,7 +139,7 @@
         boolean quiet = ejections.changed().isEmpty() && forAll.changed() == 0 && mark == null
                 && tables.values().stream().noneMatch(TableState::isTouched);
         proxies.forEach((id, p) -> {
-            p.toldAll &= ~forAll.changed();
+            p.announcedForAll &= ~forAll.changed();
             List<Message.Part> parts = quiet && !p.isBoundAnew() ? List.of() : composer.compose(p, mark);
             if (!parts.isEmpty()) {
                 if (parts.stream().anyMatch(part -> part.ticket() >= 0)) {
--- a/src/main/java/pearusher/serve/UpdateComposer.java
+++ b/src/main/java/pearusher/serve/UpdateComposer.java
@@ -135,7 +135,7 @@
         List<String> back = new ArrayList<>();
         ejections(proxy).forEach((server, isOut) -> {
             (isOut ? shut : back).add(names.apply(server));
-            proxy.told.put(server, isOut);
+            proxy.announced.put(server, isOut);
         });
         boolean said = !shut.isEmpty() || !back.isEmpty();
         boolean marked = mark != null && (mark.toAll() || !out.isEmpty() || said);
@@ -176,7 +176,7 @@
                         .forEach(s -> out.put(s, ejections.isEjected(s)));
             }
         }
-        out.entrySet().removeIf(e -> e.getValue().equals(proxy.told.get(e.getKey())));
+        out.entrySet().removeIf(e -> e.getValue().equals(proxy.announced.get(e.getKey())));
         return out;
     }
 
@@ -185,9 +185,9 @@
         Map<Message.Level, Integer> levels = new LinkedHashMap<>();
         for (int k = 0; k < classes.count(); k++) {
             if (proxy.table[k] == ProxyStreamState.UNBOUND && forAll.get(k) != null
-                    && (proxy.toldAll >> k & 1) == 0) {
+                    && (proxy.announcedForAll >> k & 1) == 0) {
                 levels.merge(forAll.get(k), 1 << k, (a, b) -> a | b);
-                proxy.toldAll |= 1 << k;
+                proxy.announcedForAll |= 1 << k;
             }
         }
         levels.forEach((level, bits) -> out.add(0, levelPart(level, bits)));
--- a/src/test/java/pearusher/recovery/LedgerTest.java
+++ b/src/test/java/pearusher/recovery/LedgerTest.java
@@ -41,8 +41,8 @@
         }
     }
 
-    private static ServerWord server(String name, Assigner.State state) {
-        return new ServerWord(name, "127.0.0.1:1", 0, 0, 0, state, 1, 0);
+    private static ListedServer server(String name, Assigner.State state) {
+        return new ListedServer(name, "127.0.0.1:1", 0, 0, 0, state, 1, 0);
     }
 
     /** A table of two lines, proxy 3 bound to it; it has answered if that is asked. */
@@ -100,7 +100,7 @@
         Rejoin lacks = ledger().joined(3, false);
         assertEquals(Map.of("b", 0.7), lacks.lines());
         assertEquals(Map.of(1, new Level(1, 1)), lacks.levels());
-        assertEquals(Map.of("a", true), lacks.words());
+        assertEquals(Map.of("a", true), lacks.ejections());
         ledger.mark(12);
         ledger.sent(3);
         end(ledger);
@@ -108,7 +108,7 @@
         end(ledger);
         lacks = ledger().joined(3, false);
         assertEquals(0, lacks.cost());
-        assertEquals(Map.of("a", true, "b", false), lacks.told());
+        assertEquals(Map.of("a", true, "b", false), lacks.announced());
     }
 
     /** Marks of an earlier process, and those of another stream, answer for nothing. */
@@ -132,7 +132,7 @@
         again.begin(List.of(server("b", Assigner.State.READY)), now);
         Rejoin lacks = again.joined(3, false);
         assertEquals(Map.of("a", 0.0), lacks.lines());
-        assertEquals(Map.of("b", false), lacks.words(), "b is back");
+        assertEquals(Map.of("b", false), lacks.ejections(), "b is back");
         again.begin(List.of(server("b", Assigner.State.DRAINING)), now);
         assertEquals(Set.of("b"), again.lines(0).keySet());
     }
@@ -256,7 +256,7 @@
                     follower.levels.clear();
                     follower.levels.putAll(levels);
                     whole.keySet().forEach(s -> follower.word(s, out.getOrDefault(s, false)));
-                } : () -> apply(follower, lacks.lines(), lacks.levels(), lacks.words()));
+                } : () -> apply(follower, lacks.lines(), lacks.levels(), lacks.ejections()));
                 joined = true;
             }
             Map<String, Double> changed = new HashMap<>();
--- a/src/test/java/pearusher/recovery/OutboxTest.java
+++ b/src/test/java/pearusher/recovery/OutboxTest.java
@@ -42,11 +42,11 @@
         assertFalse(box.late(100_000));
     }
 
-    private static ServerWord server(String name, Assigner.State state, long startedUs) {
-        return new ServerWord(name, null, 0, 0, 0, state, 1, startedUs);
+    private static ListedServer server(String name, Assigner.State state, long startedUs) {
+        return new ListedServer(name, null, 0, 0, 0, state, 1, startedUs);
     }
 
-    private static Ledger ledger(long generation, ServerWord... servers) {
+    private static Ledger ledger(long generation, ListedServer... servers) {
         java.util.Map<String, byte[]> store = new java.util.HashMap<>();
         Ledger first = Ledger.of(store, Doubt.NONE, "n", 5, 1000, false);
         first.listed(generation, false, List.of(servers));
@@ -54,17 +54,17 @@
         return Ledger.of(store, Doubt.NONE, "n", 6, 1000, false);
     }
 
-    private static KnownList merge(long given, ServerWord said, long stored, ServerWord kept) {
+    private static KnownList merge(long given, ListedServer said, long stored, ListedServer kept) {
         return KnownList.merge(new KnownList(given, List.of(said)), ledger(stored, kept));
     }
 
     /** A server that drains or is gone is not revived, whatever the store says. */
     @Test
     void theNewerListCountsAndNobodyIsRevivedByAnOlderOne() {
-        ServerWord ready = server("a", Assigner.State.READY, 0);
-        ServerWord draining = server("a", Assigner.State.DRAINING, 0);
-        ServerWord gone = server("a", Assigner.State.GONE, 0);
-        ServerWord restarted = server("a", Assigner.State.READY, 9);
+        ListedServer ready = server("a", Assigner.State.READY, 0);
+        ListedServer draining = server("a", Assigner.State.DRAINING, 0);
+        ListedServer gone = server("a", Assigner.State.GONE, 0);
+        ListedServer restarted = server("a", Assigner.State.READY, 9);
         assertEquals(new KnownList(8, List.of(draining)), merge(7, ready, 8, draining));
         assertEquals(new KnownList(0, List.of(draining)), merge(7, draining, 8, ready));
         assertEquals(new KnownList(0, List.of(gone)), merge(9, ready, 8, gone));
