Scope: tables and tallies only for zones with proxies here, lists that a bind can carry

Cause: each server kept two tallies for every zone of the settings, and every zone had a table of every server, whether or not a proxy of that zone was here: near 0.9 KB for each pair, so that 2,000 servers in 98 zones died at the start under the run line's heap. A table of all servers can also be longer than the room that a bind may take in the channel; then no proxy is ever bound.

Change: a zone is in scope while it has proxies here and for 30 graces after the last one left; only such zones have a table. A server's tallies grow with the zones that tried it (ZoneTallies); tries of zones out of scope count together. Where a bind to all serving servers can't be carried, tables list as many as it can, by a rank that each assigner draws anew.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -5,13 +5,16 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /** Every decision of pearusher; its settings, events and orders are in Assigner.java beside it. FaaSt's
  * tables are the ordinary path: each period a zone's shared table gives every serving server the weight 1/r
@@ -84,8 +87,10 @@
     private static final double HELD_BY = 0.3;
     /** Graces after a start until what was let in again before it has been told by former assigners. */
     private static final double HELD_OLD = 1.5;
-    /** Graces after which a gone server is forgotten: proxies that come back later hold it no more. */
+    /** Graces after which a gone server is forgotten, or a zone without proxies here: none holds it then. */
     private static final double FORGET = 30;
+    /** Of the lines that a bind can carry, the share for servers of the zones that have proxies here. */
+    private static final double SCOPE_OWN = 0.75;
     /** Share of a period after which what found no room in the channel is tried again. */
     private static final double SEND_AGAIN = 0.1;
     /** Overload, ill servers aside: a period's mean as a share of the shortest aim, or what failed. */
@@ -117,66 +122,16 @@
 
     private static final long PASS = 1, WATCH = 2, SEND = 3;
 
-    private static final class Proxy {
-        final int zone;
-        final boolean holds;
-        /** Only servers that the list told a change of may be shut out there. */
-        boolean sure;
-        final double[] perS;
-        /** Bound as it should be; and bound at all: its last table's changes go to it till the next bind. */
-        boolean bound, follows;
-        int table;
-        /** Lines that it lacks of its zone's table, told as it joined; -1: it holds another one, or none. */
-        int lacks = -1;
-        /** When it joined, and how much time its reports have covered since, by class. */
-        final long joinedUs;
-        final double[] coveredUs;
-        final long[] heardUs;
-        final ArrayDeque<Long> messages = new ArrayDeque<>();
-
-        Proxy(int zone, boolean holds, int grades, long joinedUs) {
-            this.joinedUs = joinedUs;
-            coveredUs = new double[grades];
-            heardUs = new long[grades];
-            this.zone = zone;
-            table = zone;
-            this.holds = holds;
-            perS = new double[grades];
-        }
-
-        boolean reported() { return Arrays.stream(coveredUs).anyMatch(c -> c > 0); }
-    }
-
-    /** One zone's shared table: the weights planned and those sent. */
-    private static final class Table {
-        final Map<Long, Double> planned = new TreeMap<>();
-        final Map<Long, Double> sent = new TreeMap<>();
-        /** Passes for which a line found no room, and the proxies bound. */
-        final Map<Long, Integer> waits = new TreeMap<>();
-        final List<Integer> users = new ArrayList<>();
-        /** What was ordered of levels and retries, by class. */
-        final double[] level;
-        final int[] retry;
-        int ordered;
-        double home;
-
-        Table(int grades, double full, int usualRetry) {
-            level = new double[grades];
-            retry = new int[grades];
-            Arrays.fill(level, full);
-            Arrays.fill(retry, usualRetry);
-        }
-    }
-
     private final Settings set;
     private final Orders to;
     private final double aimUs;
     private final Map<Long, Server> servers = new TreeMap<>();
-    private final Map<Integer, Proxy> proxies = new TreeMap<>();
+    private final Map<Integer, ProxyState> proxies = new TreeMap<>();
     /** The serving servers, as of the last pass. */
     private final List<Server> up = new ArrayList<>();
-    /** The zones' tables, then those of subsets of the fleet: subset k of zone z at z + k * zones. */
-    private Table[] tables;
+    /** The tables of zones in scope, those that have proxies here; and those of subsets of the fleet: subset
+     * k of zone z at z + k * zones. */
+    private final TreeMap<Integer, ZoneTable> tables = new TreeMap<>();
     private final int zones;
     private int subsets;
     private boolean surge, promotes;
@@ -188,7 +143,7 @@
     private final double[] level;
     private final double full;
     private boolean restarts, moved, sendAgain, kept, started, watching, watchAsked, settled, forgot;
-    private boolean reports, reported, over, passDue;
+    private boolean reports, reported, over, passDue, rescope;
     private long startUs, heldUs, cutUs, plannedUs, passUs, waitingUs;
     private int heardPasses, mark, failures, asks;
     private double asked, tried, waiting, lastCut, lastGood, outlook;
@@ -212,8 +167,6 @@
         level = new double[set.grades().size()];
         Arrays.fill(level, full);
         zones = Math.max(1, set.zones());
-        tables = new Table[zones];
-        for (int z = 0; z < zones; z++) { tables[z] = new Table(level.length, full, set.usualRetry()); }
         if (set.slices() > 0) { to.log("slices are not served: this instance binds and orders nothing"); }
     }
 
@@ -235,13 +188,14 @@
             failures = 0;
             if (watchAsked) { to.log("list back"); }
         }
+        rescope = true;
         LinkedHashSet<Long> named = new LinkedHashSet<>();
         for (Entry e : entries) {
             named.add(e.server());
             Server s = servers.get(e.server());
             if (s == null) {
                 if (e.state() == State.GONE) { continue; }
-                s = new Server(e.server(), zones);
+                s = new Server(e.server());
                 s.listedUs = now;
                 servers.put(s.id, s);
                 // What started since we run and was never out nobody can have withdrawn; yet ids return, and
@@ -249,7 +203,7 @@
                 boolean fresh = started && e.startedUs() > startUs && !forgot;
                 doubt(s, fresh ? 0 : form != ListForm.CACHED || e.startedUs() > 0 ? 2 : 1);
             } else if (e.startedUs() != s.startedUs && e.state() == State.READY) {
-                s.forget(zones);
+                s.forget();
                 s.listedUs = now;
                 restarts = true;
                 doubt(s, 2);
@@ -289,9 +243,11 @@
 
     @Override
     public void joined(long now, int proxy, int zone, double perS, boolean onlyStanding) {
-        Proxy p = new Proxy(Math.min(zone, zones - 1), !onlyStanding, level.length, now);
+        ProxyState p = new ProxyState(Math.min(zone, zones - 1), !onlyStanding, level.length, now);
         Arrays.fill(p.perS, Math.max(0, perS) / Math.max(1, level.length));
         proxies.put(proxy, p);
+        rescope |= !tables.containsKey(p.zone);
+        table(p.zone).usedUs = now;
         p.sure = onlyStanding || started && now - startUs > HELD_OLD * set.limits().graceUs();
         if (p.sure) { to.sure(proxy); }
         restarts |= heardPasses == 0;
@@ -333,7 +289,8 @@
     public void restored(long now, int number, Map<Long, Double> weights, double[] levels, int[] retries,
             int lastMark) {
         if (number >= zones) { return; }
-        Table table = tables[number];
+        ZoneTable table = table(number);
+        table.usedUs = now;
         weights.keySet().stream().filter(servers::containsKey)
                 .forEach(id -> table.sent.put(id, weights.get(id)));
         List<Server> listed = table.sent.keySet().stream().map(servers::get).filter(this::serving).toList();
@@ -358,8 +315,8 @@
 
     @Override
     public void holds(long now, int proxy, int table, int lacks) {
-        Proxy p = proxies.get(proxy);
-        p.lacks = table == p.zone && !tables[table].sent.isEmpty() ? lacks : -1;
+        ProxyState p = proxies.get(proxy);
+        p.lacks = table == p.zone && !table(table).sent.isEmpty() ? lacks : -1;
     }
 
     // Reports.
@@ -371,7 +328,7 @@
         if (s == null || zone >= zones || tries <= 0) { return; }
         double old = Math.max(0, spanUs - set.periodUs()) / 2.0 + ageUs;
         double part = Math.pow(0.5, old / (HALF_PERIODS * set.periodUs()));
-        Tally t = s.fresh[zone];
+        Tally t = s.tallies.fresh(tables.containsKey(zone) ? zone : ZoneTallies.ELSEWHERE);
         long bad = Math.min(failed, tries);
         t.good += part * (tries - bad);
         t.sumUs += part * (tries - bad) * meanUs;
@@ -382,7 +339,7 @@
 
     @Override
     public void usage(long now, int proxy, int grade, long requests, long failed, long spanUs) {
-        Proxy p = proxies.get(proxy);
+        ProxyState p = proxies.get(proxy);
         if (p == null || grade >= p.perS.length || spanUs <= 0) { return; }
         double keep = Math.pow(0.5, spanUs / (HALF_PERIODS * set.periodUs()));
         // No request, no line: what a later one leaves open was idle or lost, not late.
@@ -424,18 +381,14 @@
             startUs = now;
             watching = !set.listOnRequest();
             if (!watching) { to.watch(true); }
-            pass(now, set.periodUs());
             plan(now);
         }
         // Never bare: when the last listed server has left, or the first came, no period is waited for.
-        if (tables[0].planned.keySet().stream().noneMatch(id -> serving(servers.get(id)))
-                && servers.values().stream().anyMatch(this::serving)) {
-            restarts = true;
-        }
+        restarts |= !tables.isEmpty() && up.stream().noneMatch(s -> s.share > 0 && serving(s))
+                && servers.values().stream().anyMatch(this::serving);
         long since = now - plannedUs;
         if (passDue || reports && since >= EARLY * set.periodUs()) {
             if (reports || since >= LATEST * set.periodUs()) {
-                pass(now, set.periodUs());
                 plan(now);
             } else {
                 pass(now, (long) (LATEST * set.periodUs()) - since);
@@ -445,6 +398,8 @@
             reported = false;
             tables(now);
         }
+        // A zone whose first proxy came after the start has its table at once.
+        zonesInScope().filter(z -> tables.get(z).planned.isEmpty()).forEach(this::weigh);
         send(now);
     }
 
@@ -457,27 +412,27 @@
     }
 
     private void plan(long now) {
+        pass(now, set.periodUs());
         double keep = Math.pow(0.5, (now - plannedUs) / (HALF_PERIODS * set.periodUs()));
         plannedUs = now;
         reported = reports;
         reports = false;
         // Where lines come in turn a period's own may be of few servers: a turn's tell of the fleet.
-        double own = total(up, s -> Arrays.stream(s.fresh).mapToDouble(t -> t.good + t.bad).sum());
+        double own = total(up, s -> s.tallies.sumFresh(t -> t.good + t.bad));
         period.scale(Math.min(1 - set.periodUs() / turnUs(), POOL_TRIES / Math.max(1, own)));
         for (Server s : servers.values()) {
-            for (int z = 0; z < zones; z++) {
-                if (serving(s) && !s.ill) { period.add(s.fresh[z]); }
-                s.cells[z].scale(reported ? keep : 1);
-                s.cells[z].add(s.fresh[z]);
-                s.fresh[z].scale(0);
-            }
-            double most = Math.min(1, BAD_MOST / Math.max(1, s.bad()));
-            Arrays.stream(s.cells).forEach(t -> t.scale(most));
+            if (s.tallies.isEmpty()) { continue; }
+            if (serving(s) && !s.ill) { s.tallies.addFreshTo(period); }
+            s.tallies.endPeriod(reported ? keep : 1);
+            s.tallies.scalePast(Math.min(1, BAD_MOST / Math.max(1, s.bad())));
+            if (!s.scoped && s.good() + s.bad() < 1) { s.tallies.clear(); }
         }
         // A jam grows while reports travel: a fall goes on for a period, a rise counts one period late.
         double part = period.good / Math.max(1, period.good + period.bad);
         outlook = part < lastGood ? Math.max(0, 2 * part - lastGood) : lastGood;
         lastGood = part;
+        release(now);
+        scope();
         settle(now);
         ask(now);
         pressure(now);
@@ -489,10 +444,10 @@
     /** Long gone, and in no table: over days every server is replaced, and each would stay for good. */
     private boolean forgotten(long now, Server s) {
         boolean out = s.state == State.GONE && now - s.outUs > FORGET * set.limits().graceUs()
-                && !withdrawals.contains(s.id) && Arrays.stream(tables).noneMatch(t ->
+                && !withdrawals.contains(s.id) && tables.values().stream().noneMatch(t ->
                         t.sent.containsKey(s.id));
         if (out) {
-            Arrays.stream(tables).forEach(t -> t.waits.remove(s.id));
+            tables.values().forEach(t -> t.waits.remove(s.id));
             to.forget(s.id);
             forgot = true;
         }
@@ -503,11 +458,54 @@
     private void tables(long now) {
         restarts = false;
         moved = true;
+        scope();
         judge(now);
-        for (int z = 0; z < zones; z++) { weigh(z); }
+        zonesInScope().forEach(this::weigh);
         deal();
     }
 
+    // What is in scope: zones by the proxies that are here, servers by what a bind can carry.
+
+    private ZoneTable table(int number) {
+        return tables.computeIfAbsent(number, n -> new ZoneTable(level.length, full, set.usualRetry()));
+    }
+
+    private Stream<Integer> zonesInScope() { return tables.headMap(zones).keySet().stream(); }
+
+    /** Lets go of the zones that had no proxy here for long; what was heard of them counts as elsewhere's. */
+    private void release(long now) {
+        proxies.values().forEach(p -> table(p.zone).usedUs = now);
+        List<Integer> over = zonesInScope().filter(z ->
+                now - tables.get(z).usedUs > FORGET * set.limits().graceUs()).toList();
+        for (int z : over) {
+            tables.remove(z);
+            to.clear(z);
+            servers.values().forEach(s -> s.tallies.merge(z));
+            rescope = true;
+        }
+    }
+
+    /** The servers that tables may list: all that serve, or as many as a bind can carry (a line may come with
+     * a word), by a rank that each assigner draws anew: first of zones with proxies here, in equal parts,
+     * then of all. Guards against tables so long that no proxy is ever bound. */
+    private void scope() {
+        if (!rescope) { return; }
+        rescope = false;
+        up.clear();
+        servers.values().stream().filter(this::serving).forEach(up::add);
+        long most = (long) Math.max(1, (most(QUEUE_SOON) - set.channel().head() - 2 - level.length) / 2);
+        if (up.size() > most) {
+            up.sort(Comparator.comparingLong(s -> new SplittableRandom(set.seed() ^ s.id).nextLong()));
+            long each = (long) (SCOPE_OWN * most / Math.max(1, zonesInScope().count()));
+            Stream<Server> own = zonesInScope().flatMap(z ->
+                    up.stream().filter(s -> s.zone == z).limit(each));
+            List<Server> chosen = Stream.concat(own, up.stream()).distinct().limit(most).toList();
+            up.retainAll(new HashSet<>(chosen));
+        }
+        servers.values().forEach(s -> s.scoped = false);
+        up.forEach(s -> s.scoped = true);
+    }
+
     /** Starting over: proxies that hold an earlier stream's tables keep them until this instance has heard of
      * the fleet, and the levels they hold are read off what was tried of what came, if those passes hold a
      * whole turn. Guards against a flood after a crash in a jam. Could leave a proxy on an outdated table. */
@@ -527,14 +525,14 @@
 
     /** Where more lines fall due than the intake lets through, each comes in turn and covers more time. */
     private double turnUs() {
-        double due = zones * up.size() + level.length * proxies.size();
+        double due = zonesInScope().count() * up.size() + level.length * proxies.size();
         return Math.max(set.periodUs(), due / set.intakePerS() * 1e6);
     }
 
     /** How far behind the reports are: the time since proxies joined that none has covered, for the best
      * quarter of those that reported, or of all. Idle, silent and spoilt ones fall behind alone. */
     private double lagUs(long now) {
-        boolean any = proxies.values().stream().anyMatch(Proxy::reported);
+        boolean any = proxies.values().stream().anyMatch(ProxyState::reported);
         double[] lags = proxies.values().stream().filter(p -> p.reported() || !any).mapToDouble(p -> Math.max(
                 0, now - p.joinedUs - Arrays.stream(p.coveredUs).max().orElse(0))).sorted().toArray();
         return lags.length == 0 ? 0 : lags[lags.length / 4];
@@ -548,8 +546,6 @@
 
     /** Each server's average time and share of failures, and how ill it is beside the fleet's median. */
     private void judge(long now) {
-        up.clear();
-        servers.values().stream().filter(this::serving).forEach(up::add);
         double sum = total(up, s -> s.sum(t -> t.sumUs)) + FIRST_GUESS * aimUs;
         double average = sum / (total(up, Server::good) + 1);
         for (Server s : up) {
@@ -577,7 +573,7 @@
      * about once a period. What servers that leave had counts to those that stay before these can say so.
      * Guards against a jam that is built while nobody hears of it. */
     private void ask(long now) {
-        List<Server> warm = servers.values().stream().filter(s -> serving(s) && age(now, s) >= 1).toList();
+        List<Server> warm = up.stream().filter(s -> age(now, s) >= 1).toList();
         double left = total(warm, s -> s.listed);
         busySum *= BUSY_KEEP * Math.max(1, warmth / Math.max(1, left));
         busyN *= BUSY_KEEP;
@@ -644,13 +640,13 @@
 
     /** Zone z's table: weight inverse to d + p, an ill or cold server's cut, all moves bounded. */
     private void weigh(int z) {
-        Table table = tables[z];
+        ZoneTable table = tables.get(z);
         double largest = up.stream().mapToDouble(s -> s.meanUs).max().orElse(0) * FAILURE_TIMES;
         boolean silent = total(up, Server::good) < 1 && !table.planned.isEmpty();
         double speed = 0;
         double warm = 0;
         for (Server s : up) {
-            Tally t = s.cells[z];
+            Tally t = s.tallies.past(z);
             double bad = s.bad();
             double good = s.good() + PRIOR_TRIES;
             double pooled = (s.meanUs * good + bad * largest) / (good + bad);
@@ -686,13 +682,15 @@
      * crossing costs points. That part grows while the own servers do as well as the others and falls when
      * they do worse, and never passes what the zone can hold of the whole. */
     private double distance(int z) {
-        Table table = tables[z];
+        ZoneTable table = tables.get(z);
         List<Server> own = up.stream().filter(s -> s.zone == z).toList();
         List<Server> far = up.stream().filter(s -> s.zone != z).toList();
         if (own.isEmpty() || far.isEmpty() || set.prices().crossZone() <= 0) { return 0; }
         if (heardPasses == 0) {
             long few = Math.min(own.size(), proxies.values().stream().filter(p -> p.zone == z).count());
             table.home = Math.max(0, 1 - Math.pow(HOME_FEW / Math.max(1, few), 2));
+        } else if (table.planned.isEmpty()) {
+            table.home = tables.values().stream().mapToDouble(t -> t.home).max().orElse(0);
         }
         double ownTime = total(own, s -> s.scale * s.time) / total(own, s -> s.scale);
         double worse = ownTime / (total(far, s -> s.scale * s.time) / total(far, s -> s.scale));
@@ -701,7 +699,7 @@
         } else if (worse < HOME_CALM && reported && ownTime < HOME_AIMS * aimUs) {
             table.home = Math.min(1, table.home + HOME_GROW);
         }
-        ToDoubleFunction<Proxy> perS = p -> heardPasses == 0 ? 1 : Arrays.stream(p.perS).sum();
+        ToDoubleFunction<ProxyState> perS = p -> heardPasses == 0 ? 1 : Arrays.stream(p.perS).sum();
         double all = proxies.values().stream().mapToDouble(perS).sum();
         double here = proxies.values().stream().filter(p -> p.zone == z).mapToDouble(perS).sum();
         // Where zones join apart, proxies elsewhere are taken to bring as much each.
@@ -807,8 +805,8 @@
             }
             p.lacks = -1;
         });
-        Arrays.stream(tables).forEach(t -> t.users.clear());
-        proxies.forEach((id, p) -> tables[p.table].users.addAll(p.follows ? List.of(id) : List.of()));
+        tables.values().forEach(t -> t.users.clear());
+        proxies.forEach((id, p) -> table(p.table).users.addAll(p.follows ? List.of(id) : List.of()));
         // Who waits for the first passes hears what is withdrawn, and all of it in a round. Words that would
         // hold up the binds behind them past their time do not go: they are bound at once.
         if (heldUs > 0 && !settled) {
@@ -825,7 +823,7 @@
         // Behind a queue they gather till they outweigh their heads, and nothing else goes meanwhile. Few
         // that would come too late so go as soon as they fit: they are what a full queue left of many.
         boolean many = withdrawals.size() > c.head();
-        double bound = Arrays.stream(tables).mapToDouble(t -> t.users.size()
+        double bound = tables.values().stream().mapToDouble(t -> t.users.size()
                 * told(withdrawals.stream().filter(t.sent::containsKey).count())).sum();
         double cost = bound + told(withdrawals.size()) * (surge ? 0 : oldest(p -> !p.follows).size());
         double goneUs = withdrawals.isEmpty() ? 0 : now - servers.get(withdrawals.iterator().next()).outUs;
@@ -856,7 +854,7 @@
     private boolean others() {
         // Levels pay the heads of their messages: weights go along, or in a jam they would never find room.
         boolean few = few();
-        IntStream.range(0, tables.length).forEach(t -> admit(t, tables[t]));
+        tables.forEach(this::admit);
         boolean room = !lines.isEmpty() || few();
         few &= !lines.isEmpty();
         returns.removeIf(id -> room && back(servers.get(id)));
@@ -867,7 +865,7 @@
             all &= promotes && oldest(p -> p.table >= zones).stream().filter(id -> !capped(List.of(id)))
                     .allMatch(id -> bind(id, -1));
         }
-        if (moved && (few || few())) { moved = !lines(0, tables.length); }
+        if (moved && (few || few())) { moved = !lines(tables); }
         return all && !moved;
     }
 
@@ -877,18 +875,20 @@
                 .map(id -> bind(id, surge ? subset(proxies.get(id).zone) : -1)).reduce(true, (a, b) -> a & b);
     }
 
-    private List<Integer> oldest(Predicate<Proxy> which) {
+    private List<Integer> oldest(Predicate<ProxyState> which) {
         return proxies.keySet().stream().filter(id -> which.test(proxies.get(id)))
                 .sorted(Comparator.comparingLong(id -> proxies.get(id).joinedUs)).toList();
     }
 
     /** Binds a proxy to a subset's table, or (-1) to its zone's. */
     private boolean bind(int id, int subset) {
-        Proxy p = proxies.get(id);
+        ProxyState p = proxies.get(id);
         int number = subset < 0 ? p.zone : subset;
-        Table table = tables[number];
+        ZoneTable table = table(number);
         if (table.planned.isEmpty()) { return true; }
-        if (table.sent.isEmpty() || number >= zones && table.users.isEmpty()) { lines(number, number + 1); }
+        if (table.sent.isEmpty() || number >= zones && table.users.isEmpty()) {
+            lines(Map.of(number, table));
+        }
         boolean fits = take(List.of(id), whole(table.sent.keySet(), p) + Integer.bitCount(table.ordered),
                 p.bound ? QUEUE_CALM : surge ? QUEUE_MOST : QUEUE_SOON);
         if (fits) {
@@ -898,7 +898,7 @@
         return fits;
     }
 
-    private void follow(int id, Proxy p, int number) {
+    private void follow(int id, ProxyState p, int number) {
         p.bound = true;
         p.follows = true;
         p.table = number;
@@ -906,7 +906,7 @@
     }
 
     /** Lines of a bind to these servers: itself, each, and the words that they are back. */
-    private double whole(Collection<Long> ids, Proxy p) {
+    private double whole(Collection<Long> ids, ProxyState p) {
         return 1 + ids.size() + ids.stream().filter(id -> servers.get(id).doubt > (p.sure ? 1 : 0)).count();
     }
 
@@ -927,13 +927,10 @@
             // So small that all proxies of the tier take half of what arrives in time; drains have the rest.
             double each = QUEUE_CALM * graceLines() / set.proxies() - c.head() - 2 - level.length;
             subsets = (int) Math.ceil(up.size() / Math.max(c.head() / 2, each / 2));
-            tables = Arrays.copyOf(tables, (1 + subsets) * zones);
-            Arrays.setAll(tables, t -> t < zones ? tables[t]
-                    : new Table(level.length, full, set.usualRetry()));
             deal();
         } else if (subsets > 0 && !surge && proxies.values().stream().allMatch(p -> p.table < zones)) {
-            IntStream.range(zones, tables.length).forEach(to::clear);
-            tables = Arrays.copyOf(tables, zones);
+            tables.tailMap(zones).keySet().forEach(to::clear);
+            tables.tailMap(zones).clear();
             servers.values().forEach(s -> s.subset = 0);
             subsets = 0;
         }
@@ -941,8 +938,9 @@
 
     /** Deals warm servers to the subsets, evenly from each zone; a subset that lost most is left. */
     private void deal() {
+        if (subsets == 0) { return; }
         int[][] dealt = new int[zones][subsets + 1];
-        List<Server> warm = up.stream().filter(s -> subsets > 0 && s.ready >= 1 && serving(s)).toList();
+        List<Server> warm = up.stream().filter(s -> s.ready >= 1 && serving(s)).toList();
         warm.forEach(s -> dealt[s.zone][s.subset]++);
         for (Server s : warm) {
             int[] here = dealt[s.zone];
@@ -950,27 +948,25 @@
                     .min(Comparator.comparingInt(k -> here[k])).get();
             here[s.subset]++;
         }
-        for (int t = zones; t < tables.length; t++) {
-            Map<Long, Double> zone = tables[t % zones].planned;
-            Map<Long, Double> planned = tables[t].planned;
-            int k = t / zones;
+        zonesInScope().toList().forEach(z -> IntStream.rangeClosed(1, subsets).forEach(k -> {
+            Map<Long, Double> zone = tables.get(z).planned;
+            Map<Long, Double> planned = table(z + k * zones).planned;
             planned.clear();
             warm.stream().filter(s -> s.subset == k && zone.containsKey(s.id))
                     .forEach(s -> planned.put(s.id, zone.get(s.id)));
-            int thin = t;
             if (2 * planned.size() * subsets < warm.size() || planned.isEmpty()) {
-                proxies.values().stream().filter(p -> p.table == thin).forEach(p -> p.bound = false);
+                proxies.values().stream().filter(p -> p.table == z + k * zones).forEach(p -> p.bound = false);
             }
-        }
+        }));
     }
 
     /** The subset of a zone's tables with the fewest proxies for its servers, or -1. */
     private int subset(int z) {
         long warm = up.stream().filter(s -> s.ready >= 1).count();
         return IntStream.rangeClosed(1, subsets).map(k -> z + k * zones)
-                .filter(t -> 2 * tables[t].planned.size() * subsets >= warm && !tables[t].planned.isEmpty())
-                .boxed().min(Comparator.comparingDouble(t -> (tables[t].users.size() + 1.0)
-                        / tables[t].planned.size())).orElse(-1);
+                .filter(t -> 2 * table(t).planned.size() * subsets >= warm && !table(t).planned.isEmpty())
+                .boxed().min(Comparator.comparingDouble(t -> (table(t).users.size() + 1.0)
+                        / table(t).planned.size())).orElse(-1);
     }
 
     /** Lines of a message that says so much. */
@@ -1012,12 +1008,13 @@
     /** In a join surge its line goes, table by table: joiners are bound before they need a word. */
     private boolean withdraw(long id) {
         if (surge) {
-            IntStream.range(0, tables.length).filter(t -> tables[t].sent.containsKey(id)
-                    && take(tables[t].users, 1, QUEUE_MOST)).forEach(t -> line(t, id, 0));
-            return Arrays.stream(tables).noneMatch(t -> t.sent.containsKey(id));
+            tables.forEach((t, table) -> {
+                if (table.sent.containsKey(id) && take(table.users, 1, QUEUE_MOST)) { line(t, id, 0); }
+            });
+            return tables.values().stream().noneMatch(t -> t.sent.containsKey(id));
         }
         boolean fits = take(proxies.keySet().stream().filter(p -> !proxies.get(p).follows
-                || tables[proxies.get(p).table].sent.containsKey(id)).toList(), 1, QUEUE_MOST);
+                || table(proxies.get(p).table).sent.containsKey(id)).toList(), 1, QUEUE_MOST);
         if (fits) { to.withdraw(id, true); }
         return fits;
     }
@@ -1025,10 +1022,10 @@
     /** A server that was out is let in again together with its lines: a cold one would else get the weight
      * that it had. Guards against restarts of many at once; while there is no room they wait, unused. */
     private boolean back(Server s) {
-        boolean fits = take(proxies.keySet(), 2, QUEUE_BACK);
+        boolean fits = take(s.scoped ? proxies.keySet() : oldest(p -> !p.follows), 2, QUEUE_BACK);
         if (fits) {
-            IntStream.range(0, zones).forEach(z -> line(z, s.id, scale(tables[z])
-                    * tables[z].planned.getOrDefault(s.id, 0.0)));
+            tables.headMap(zones).forEach((z, table) -> line(z, s.id, scale(table)
+                    * table.planned.getOrDefault(s.id, 0.0)));
             to.withdraw(s.id, false);
         }
         return fits;
@@ -1036,7 +1033,7 @@
 
     /** Weights are relative: the scale at which most warm lines stand as sent, 1 for a new table. It drifts
      * as servers are replaced, over weeks beyond any number: far from 1 it goes back within the dead band. */
-    private double scale(Table table) {
+    private double scale(ZoneTable table) {
         double[] kept = up.stream().filter(s -> s.climb >= 1 && table.planned.containsKey(s.id)
                 && table.sent.containsKey(s.id))
                 .mapToDouble(s -> table.sent.get(s.id) / table.planned.get(s.id)).sorted().toArray();
@@ -1047,7 +1044,7 @@
     }
 
     private void line(int z, long id, double weight) {
-        Table table = tables[z];
+        ZoneTable table = tables.get(z);
         if (weight == table.sent.getOrDefault(id, 0.0)) { return; }
         to.line(z, id, weight);
         table.waits.remove(id);
@@ -1062,7 +1059,7 @@
 
     /** One table's levels and retries. Levels belong to tables, not to all at once: so they outlast a crash,
      * where a new instance's first message would lift them. */
-    private void admit(int z, Table table) {
+    private void admit(int z, ZoneTable table) {
         for (int k = 0; k < level.length && !capped(table.users); k++) {
             double value = set.levels() == Levels.NONE ? 1 : level[k];
             double last = table.level[k];
@@ -1082,11 +1079,10 @@
 
     /** The lines past the dead band: cold servers that shrink first, then table by table, for long messages,
      * by the share of requests that moves and how long they waited; those of withdrawn servers last. */
-    private boolean lines(int from, int to) {
+    private boolean lines(Map<Integer, ZoneTable> which) {
         List<Move> moves = new ArrayList<>();
-        for (int z = from; z < to; z++) {
-            Table table = tables[z];
-            if (capped(table.users)) { continue; }
+        which.forEach((z, table) -> {
+            if (capped(table.users)) { return; }
             LinkedHashSet<Long> ids = new LinkedHashSet<>(table.sent.keySet());
             ids.addAll(table.planned.keySet());
             double scale = scale(table);
@@ -1102,16 +1098,17 @@
                 double gap = waits * Math.abs(weight - last);
                 moves.add(new Move(z, id, weight, gap, serving(s) && s.climb < 1 && weight < last));
             }
-        }
-        double[] sum = new double[tables.length];
-        moves.forEach(m -> sum[m.zone()] += m.first());
-        moves.sort(Comparator.comparing((Move m) -> !m.urgent()).thenComparing(m -> -sum[m.zone()])
+        });
+        Map<Integer, Double> sum = new TreeMap<>();
+        moves.forEach(m -> sum.merge(m.zone(), m.first(), Double::sum));
+        moves.sort(Comparator.comparing((Move m) -> !m.urgent()).thenComparing(m -> -sum.get(m.zone()))
                 .thenComparing(m -> -m.first()));
         boolean all = true;
         for (Move m : moves) {
             // On sockets a server new to a table comes with the word that it is back.
-            boolean word = !tables[m.zone()].sent.containsKey(m.id()) && servers.get(m.id()).doubt > 0;
-            boolean fits = take(tables[m.zone()].users, word ? 2 : 1, m.urgent() ? QUEUE_SOON : QUEUE_CALM);
+            ZoneTable table = tables.get(m.zone());
+            boolean word = !table.sent.containsKey(m.id()) && servers.get(m.id()).doubt > 0;
+            boolean fits = take(table.users, word ? 2 : 1, m.urgent() ? QUEUE_SOON : QUEUE_CALM);
             if (fits) { line(m.zone(), m.id(), m.weight()); }
             all &= fits;
         }
--- a/src/main/java/pearusher/Server.java
+++ b/src/main/java/pearusher/Server.java
@@ -1,8 +1,6 @@
 package pearusher;
 
-import java.util.Arrays;
 import java.util.function.ToDoubleFunction;
-import java.util.stream.Stream;
 
 /** What the module has heard of one server and planned for it; it decides nothing. */
 final class Server {
@@ -22,22 +20,22 @@
     double guess = 1;
     /** Of the pass at hand: part of the capacity that is ready, climb of a new one, time, cut, share. */
     double ready, climb, time, scale, share;
-    Tally[] cells, fresh;
+    final ZoneTallies tallies = new ZoneTallies();
+    /** Whether tables may list it: among those that serve, as of the last choice. */
+    boolean scoped;
 
-    Server(long id, int zones) {
+    Server(long id) {
         this.id = id;
-        forget(zones);
     }
 
-    final void forget(int zones) {
-        cells = Stream.generate(Tally::new).limit(zones).toArray(Tally[]::new);
-        fresh = Stream.generate(Tally::new).limit(zones).toArray(Tally[]::new);
+    void forget() {
+        tallies.clear();
         factor = 1;
         guess = 1;
     }
 
     /** All zones' evidence as one: how many good answers, failures, or microseconds. */
-    double sum(ToDoubleFunction<Tally> of) { return Arrays.stream(cells).mapToDouble(of).sum(); }
+    double sum(ToDoubleFunction<Tally> of) { return tallies.sumPast(of); }
 
     double good() { return sum(t -> t.good); }
 
