Scope: a zone that is let go takes the tables of its subsets along

Cause: by reading. While a join surge lasts, a zone that was let go left its subsets' tables behind; what they had planned could name servers that are forgotten later, and the next round of lines would look for them. Change: all tables of the zone are cleared together. RulesTest and RestoredTest pass.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -472,15 +472,15 @@
 
     private Stream<Integer> zonesInScope() { return tables.headMap(zones).keySet().stream(); }
 
-    /** Lets go of the zones that had no proxy here for long; what was heard of them counts as elsewhere's. */
+    /** Lets go of the tables of zones without a proxy here for long; what they told counts as elsewhere's. */
     private void release(long now) {
         proxies.values().forEach(p -> table(p.zone).usedUs = now);
-        List<Integer> over = zonesInScope().filter(z ->
-                now - tables.get(z).usedUs > FORGET * set.limits().graceUs()).toList();
-        for (int z : over) {
-            tables.remove(z);
-            to.clear(z);
-            servers.values().forEach(s -> s.tallies.merge(z));
+        List<Integer> over = tables.keySet().stream().filter(t ->
+                now - table(t % zones).usedUs > FORGET * set.limits().graceUs()).toList();
+        for (int t : over) {
+            tables.remove(t);
+            to.clear(t);
+            servers.values().forEach(s -> s.tallies.merge(t));
             rescope = true;
         }
     }
