Tables: a cleared table that nobody follows is not kept

Cause: a zone that is let go is cleared, and its empty table stayed for good, as did those of subsets. Change: at the end of the turn a table that was emptied goes, if no proxy follows it. With that line taken out, TablesTest.aClearedTableOfNobodyIsNotKept fails (two tables in place of one).

--- a/src/main/java/pearusher/serve/ProxyStreamState.java
+++ b/src/main/java/pearusher/serve/ProxyStreamState.java
@@ -63,6 +63,11 @@
         return Arrays.stream(table).anyMatch(t -> t == UNBOUND);
     }
 
+    /** Whether some class follows a table. */
+    boolean follows(int number) {
+        return Arrays.stream(table).anyMatch(t -> t == number);
+    }
+
     /** Whether it was bound this turn, in either way. */
     boolean isBoundAnew() {
         if (lacks != null) {
--- a/src/main/java/pearusher/serve/TableState.java
+++ b/src/main/java/pearusher/serve/TableState.java
@@ -46,6 +46,11 @@
         return cleared || changedLevels != 0 || !changed.isEmpty();
     }
 
+    /** Whether it was begun anew this turn and nothing was put into it since. */
+    boolean isEmptied() {
+        return cleared && lines.isEmpty();
+    }
+
     void endTurn() {
         changed.clear();
         changedLevels = 0;
--- a/src/main/java/pearusher/serve/Tables.java
+++ b/src/main/java/pearusher/serve/Tables.java
@@ -149,12 +149,22 @@
             }
             p.endTurn();
         });
+        tables.entrySet().removeIf(entry -> entry.getValue().isEmptied() && !isFollowed(entry.getKey()));
         tables.values().forEach(TableState::endTurn);
         ejections.endTurn();
         forAll.endTurn();
         mark = null;
     }
 
+    private boolean isFollowed(int number) {
+        return proxies.values().stream().anyMatch(proxy -> proxy.follows(number));
+    }
+
+    /** Tables that are kept, for tests of what must not grow. */
+    int tables() {
+        return tables.size();
+    }
+
     /**
      * Takes a proxy's answer to a mark: false where that mark was not ordered on its stream, was answered
      * before, or would have taken longer than it is out. Guards the pace of the channel against spoilt
--- a/src/test/java/pearusher/serve/TablesTest.java
+++ b/src/test/java/pearusher/serve/TablesTest.java
@@ -125,6 +125,27 @@
         assertEquals(null, one.by.get("read").level);
     }
 
+    /** A table that is cleared while nobody follows it is not kept: zones come and go over the years. */
+    @Test
+    void aClearedTableOfNobodyIsNotKept() throws Exception {
+        Stand.Held one = join(1);
+        tables.line(0, 5, 0.5);
+        tables.line(7, 5, 0.5);
+        tables.bind(1, 0, 0);
+        turn();
+        tables.clear(0);
+        tables.clear(7);
+        turn();
+        assertEquals(1, tables.tables());
+        tables.line(0, 6, 0.75);
+        turn();
+        assertEquals(Map.of("s6", 0.75f), one.open("read"));
+        tables.left(1);
+        tables.clear(0);
+        turn();
+        assertEquals(0, tables.tables());
+    }
+
     /** Of the level for all and the table's own the lower prevails, with the table's own way of retrying. */
     @Test
     void levelsCombine() throws Exception {
