Capacity: a model of the fleet, picks by a proxy's table and idle processes

docs/CAPACITY.md needs figures that name the run behind them. make capacity derives what an assigner is asked under six maps of tiers, from encoded messages; make capacity-pick times a pick and an update of a stand-in proxy's table; make capacity-floor starts an empty program and an idle assigner with the run line's flags.

--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,14 @@
 scale: bench-classes
 	java -Xmx2g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.scale.ScaleCommand --root $(ROOT) \
 		--json target/scale.json --charts target/scale $(if $(QUICK),--quick) $(ARGS)
+
+# What docs/CAPACITY.md stands on: the model of the fleet (ARGS="--requests-skew 1.2"), picks by a table, idle processes.
+.PHONY: capacity capacity-pick capacity-floor
+capacity: bench-classes
+	java -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.capacity.CapacityModel $(ARGS)
+
+capacity-pick: bench-classes
+	java -Xmx1g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.capacity.PickBench $(ARGS)
+
+capacity-floor: bench-classes
+	java -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.capacity.ProcessFloor $(ARGS)
