--- a/src/bench/java/pearusher/capacity/Apportionment.java
+++ b/src/bench/java/pearusher/capacity/Apportionment.java
@@ -11,7 +11,8 @@
     static int[] split(int total, double[] weights, int least) {
         int free = total - least * weights.length;
         if (free < 0) {
-            throw new IllegalArgumentException(total + " are too few for " + weights.length + " times " + least);
+            throw new IllegalArgumentException(
+                    total + " are too few for " + weights.length + " times " + least);
         }
         double sum = DoubleStream.of(weights).sum();
         int[] parts = new int[weights.length];
--- a/src/bench/java/pearusher/capacity/AssignerLoad.java
+++ b/src/bench/java/pearusher/capacity/AssignerLoad.java
@@ -12,7 +12,7 @@
         double pairsKnown, double pairsInScope, double listEntries) {
     /** Tries a request: some are tried again. */
     static final double TRIES_PER_REQUEST = 1.1;
-    /** Of the servers heard of in a period, those whose line goes out to a proxy: 90 KB/s of 7,800 lines/s. */
+    /** Of the servers heard of in a period, those whose line goes to a proxy: 90 KB/s of 7,800 lines/s. */
     static final double LINES_CHANGED = 0.46;
     static final double PERIOD_S = 1;
     static final int CLASSES = 2;
--- a/src/bench/java/pearusher/capacity/CapacityModel.java
+++ b/src/bench/java/pearusher/capacity/CapacityModel.java
@@ -128,14 +128,16 @@
     /** Over assigners: each of a tier counts. */
     private static void spreadLoad(String name, List<TierMap.Tier> tiers, WireSizes sizes,
             ToDoubleFunction<AssignerLoad> what, String unit) {
-        spread(name, tiers, t -> what.applyAsDouble(AssignerLoad.of(t, sizes)), TierMap.Tier::assigners, unit);
+        spread(name, tiers, t -> what.applyAsDouble(AssignerLoad.of(t, sizes)), TierMap.Tier::assigners,
+                unit);
     }
 
     /** Mean, 90th percentile and largest, each item counted as often as it weighs. */
     private static <T> void spread(String name, List<T> of, ToDoubleFunction<T> what,
             ToDoubleFunction<T> weight, String unit) {
         double all = of.stream().mapToDouble(weight).sum();
-        double mean = of.stream().mapToDouble(t -> weight.applyAsDouble(t) * what.applyAsDouble(t)).sum() / all;
+        double mean = of.stream()
+                .mapToDouble(t -> weight.applyAsDouble(t) * what.applyAsDouble(t)).sum() / all;
         List<T> order = of.stream().sorted(Comparator.comparingDouble(what)).toList();
         double seen = 0;
         double p90 = 0;
--- a/src/bench/java/pearusher/capacity/PickBench.java
+++ b/src/bench/java/pearusher/capacity/PickBench.java
@@ -11,8 +11,8 @@
 
 /**
  * What of a request's time is the table's: a pick by a proxy's table, and what it costs to apply an update.
- * One thread, one call after the other (closed loop), so no call waits for another and there is no coordinated
- * omission to correct. The clock's own reading is in each time; the row {@code nothing} shows it.
+ * One thread, one call after the other (closed loop), so no call waits for another and there is no
+ * coordinated omission to correct. The clock's own reading is in each time; the row {@code nothing} shows it.
  */
 @Command(name = "pick", mixinStandardHelpOptions = true, description = "Times picks and updates of a table.")
 final class PickBench implements Callable<Integer> {
@@ -78,7 +78,8 @@
     }
 
     private static String line(int server, SplittableRandom random) {
-        return "s-" + Integer.toHexString(0x5be2a07c + 7919 * server) + ":" + (float) (0.1 + random.nextDouble());
+        float weight = (float) (0.1 + random.nextDouble());
+        return "s-" + Integer.toHexString(0x5be2a07c + 7919 * server) + ":" + weight;
     }
 
     /** Runs it once untimed for the compiler, then timed. */
--- a/src/bench/java/pearusher/capacity/Scenarios.java
+++ b/src/bench/java/pearusher/capacity/Scenarios.java
@@ -45,10 +45,15 @@
     void print() {
         ordinaryDay();
         changesOfConfiguration();
-        outage("rack", 1.0 * RACK / (Target.TASKS + Target.ASSIGNERS));
-        outage("zone", share(z -> z == largestZone()));
-        outage("region", share(z -> fleet.zones().get(z).region() == 0));
-        outage("all", 1);
+        double rack = 1.0 * RACK / (Target.TASKS + Target.ASSIGNERS);
+        double zone = share(z -> z == largestZone());
+        double region = share(z -> fleet.zones().get(z).region() == 0);
+        outage("rack", rack, rack);
+        // The zone's own proxies are dead with it; others whose assigner was there join anew.
+        outage("zone", zone, zone * (1 - (tiersCrossRegions ? zone : zone / region)));
+        // A cut: proxies on either side lose their assigners on the other.
+        outage("region", region, tiersCrossRegions ? 2 * region * (1 - region) : 0);
+        outage("all", 1, 1);
     }
 
     private void line(String what, double value, String unit) {
@@ -109,21 +114,23 @@
         line("change.one_by_one_mean", meanTier * (TERM_S + READY_S), "s");
         line("change.one_by_one_largest", largest * (TERM_S + READY_S), "s");
         line("change.one_by_one_largest_ratio", largest * (TERM_S + READY_S) / Target.IN_FORCE_S, "of_limit");
-        line("change.at_once_largest", Math.ceil(largest * (TERM_S + READY_S) / Target.IN_FORCE_S), "assigners");
+        line("change.at_once_largest", Math.ceil(largest * (TERM_S + READY_S) / Target.IN_FORCE_S),
+                "assigners");
         line("change.as_list_entry_bytes", meanTier * sizes.listEntry(), "bytes");
-        line("change.rejoins_peak", Target.CHANGES_PER_DAY * PEAK_HOUR_SHARE / 3600 * proxies() / tiers.size(),
-                "/s");
+        double peakRate = Target.CHANGES_PER_DAY * PEAK_HOUR_SHARE / 3600;
+        line("change.restarts_peak", peakRate * meanTier, "/s");
+        line("change.rejoins_peak", peakRate * proxies() / tiers.size(), "/s");
     }
 
-    /** This part of all tasks, assigners and proxies goes, and comes back in one instant. */
-    private void outage(String what, double part) {
+    /** This part of all tasks, assigners and proxies goes, and comes back in one instant; so many join anew. */
+    private void outage(String what, double part, double rejoining) {
         String at = what + ".";
         double assigners = part * Target.ASSIGNERS;
         double proxies = part * proxies();
         line(at + "tasks", part * Target.TASKS, "tasks");
         line(at + "assigners", assigners, "assigners");
         line(at + "proxies", proxies, "proxies");
-        line(at + "rejoining", rejoining(part), "proxies");
+        line(at + "rejoining", rejoining * proxies(), "proxies");
         line(at + "entries_told", part * Target.TASKS * watchersPerTask(), "entries");
         line(at + "change_bytes_an_assigner_most", part * mostList(), "bytes");
         line(at + "change_time_an_assigner_most", part * mostList() / Target.BYTES_PER_S, "s");
@@ -138,15 +145,8 @@
         line(at + "assigner_bind_time_most", mostBind() / Target.BYTES_PER_S, "s");
         line(at + "list_and_bind_ratio_mean", (meanList() + meanBind()) / Target.BYTES_PER_S
                 / Target.IN_FORCE_S, "of_limit");
-        line(at + "list_and_bind_ratio_most", mostStart() / Target.BYTES_PER_S / Target.IN_FORCE_S, "of_limit");
-    }
-
-    /**
-     * Proxies that live and lose their assigner: where tiers cross regions, those that were on the other side,
-     * in both directions for a cut and in one where a side is dead.
-     */
-    private double rejoining(double part) {
-        return tiersCrossRegions ? part * (1 - part) * proxies() : 0;
+        line(at + "list_and_bind_ratio_most", mostStart() / Target.BYTES_PER_S / Target.IN_FORCE_S,
+                "of_limit");
     }
 
     private double[] of(ToDoubleFunction<AssignerLoad> what) {
