--- a/src/bench/java/pearusher/capacity/Scenarios.java
+++ b/src/bench/java/pearusher/capacity/Scenarios.java
@@ -122,7 +122,7 @@
         line("change.rejoins_peak", peakRate * proxies() / tiers.size(), "/s");
     }
 
-    /** This part of all tasks, assigners and proxies goes, and comes back in one instant; so many join anew. */
+    /** This part of all tasks, assigners and proxies goes, and comes back at once; that part joins anew. */
     private void outage(String what, double part, double rejoining) {
         String at = what + ".";
         double assigners = part * Target.ASSIGNERS;
