--- a/src/bench/java/pearusher/capacity/ProcessFloor.java
+++ b/src/bench/java/pearusher/capacity/ProcessFloor.java
@@ -20,8 +20,8 @@
 
 /**
  * What a process takes before it has anything to do: an empty program and an idle assigner (with
- * docs/example.json, nothing at the address of discovery), both with the flags of deploy/balancer.toml, and the
- * assigner with flags that may lower it. Ends what it started. Run from the project's root after
+ * docs/example.json, nothing at the address of discovery), both with the flags of deploy/balancer.toml, and
+ * the assigner with flags that may lower it. Ends what it started. Run from the project's root after
  * {@code make build}.
  */
 @Command(name = "floor", mixinStandardHelpOptions = true, description = "Memory of idle processes.")
