--- a/src/bench/java/pearusher/scale/RunKey.java
+++ b/src/bench/java/pearusher/scale/RunKey.java
@@ -15,6 +15,7 @@
     WATCHERS("watchers", "0", 0, 5_000, "hollow assigners that only watch discovery"),
     REPORTS("reports", "-1", -1, 200_000, "lines heard a second at each assigner; -1: one for each server"),
     NOISE("noise", "0.2", 0, 2, "noise of reported means, as a share"),
+    LOAD("load", "0", 0, 1, "1: reports carry a load report"),
     REQUESTS("requests", "20", 0.1, 10_000, "requests a second of each proxy and class"),
     CHANGES("changes", "0.5", 0, 1_000, "changes of the list a second, in the window"),
     SECONDS("seconds", "10", 1, 3_600, "length of the window that is measured"),
