--- a/src/bench/java/pearusher/scale/Fleet.java
+++ b/src/bench/java/pearusher/scale/Fleet.java
@@ -122,7 +122,8 @@
         double requests = run.proxies() * run.classes() * run.get(RunKey.REQUESTS)
                 / Math.max(1, run.assigners());
         collectors = new HollowCollectors(new HollowCollectors.Shape(run.proxyZones(), run.reportsPerS(),
-                run.get(RunKey.NOISE), run.get(RunKey.LOAD) > 0, requests, periodNs, run.seed()), addresses, servers);
+                run.get(RunKey.NOISE), run.get(RunKey.LOAD) > 0, requests,
+                periodNs, run.seed()), addresses, servers);
         proxies = new HollowProxies(new HollowProxies.Shape(run.proxies(), run.proxyZones(), run.classes(),
                 run.get(RunKey.REQUESTS), (long) (run.get(RunKey.APPLY_MS) * 1e6), periodNs), addresses);
         feed = new ChangeFeed(discovery, catalog, times, new ChangeFeed.Listener() {
