Name: the intake behind a lock is SharedIntake

Waiting said neither what it holds nor that threads share it. Nothing else changes; one comment speaks of an unidentified connection.

--- a/src/main/java/pearusher/serve/Ending.java
+++ b/src/main/java/pearusher/serve/Ending.java
@@ -34,7 +34,7 @@
     TOO_LONG(Assigner.Probe.BROKEN),
     /** The other end left too much unread; this side closed. */
     UNREAD(Assigner.Probe.OTHER),
-    /** A stranger that said nothing, closed for its descriptor. */
+    /** An unidentified connection that said nothing, closed for its descriptor. */
     EVICTED(Assigner.Probe.OTHER),
     /** This side wanted it no more. */
     DROPPED(Assigner.Probe.OTHER);
--- a/src/main/java/pearusher/serve/EventLoop.java
+++ b/src/main/java/pearusher/serve/EventLoop.java
@@ -96,7 +96,7 @@
     void turn() throws InterruptedException {
         long waitUs = timers.isEmpty() ? Long.MAX_VALUE : timers.nextDueUs() - clock.getAsLong();
         boolean flooded = handler.isFlooded();
-        waitUs = flooded ? Math.min(waitUs, Waiting.SERVE_US) : waitUs;
+        waitUs = flooded ? Math.min(waitUs, SharedIntake.SERVE_US) : waitUs;
         Runnable first = waitUs <= 0 ? queue.poll() : queue.poll(waitUs, TimeUnit.MICROSECONDS);
         if (first != null) {
             gather();
--- a/src/main/java/pearusher/serve/Exchange.java
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -110,7 +110,7 @@
     }
 
     Exchange(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker,
-            LongSupplier clock, Consumer<Throwable> failed, Durable durable, Waiting intake) {
+            LongSupplier clock, Consumer<Throwable> failed, Durable durable, SharedIntake intake) {
         this.durable = durable;
         this.config = config;
         this.maker = maker;
--- a/src/main/java/pearusher/serve/ReportIntake.java
+++ b/src/main/java/pearusher/serve/ReportIntake.java
@@ -16,14 +16,14 @@
     private final EventLoop loop;
     private final ReportQueue queue;
     /** Where reports wait, where the operators switched it on; else null, and they wait in the queue. */
-    private final Waiting intake;
+    private final SharedIntake intake;
     private final long periodUs;
     private final Supplier<Assigner> module;
     /** A listed server's number by its name; null for one that no list has named yet. */
     private final Function<String, Long> numbers;
     private Consumer<Item> listener = item -> { };
 
-    ReportIntake(EventLoop loop, ReportQueue queue, Waiting intake, long periodUs,
+    ReportIntake(EventLoop loop, ReportQueue queue, SharedIntake intake, long periodUs,
             Supplier<Assigner> module, Function<String, Long> numbers) {
         this.loop = loop;
         this.queue = queue;
@@ -98,7 +98,7 @@
 
     private void deliver(Item item, Item.Requests about) {
         // A rate of long ago says nothing of now, whatever it is counted for.
-        if (item.ageUs() > Waiting.OLD_USAGE_PERIODS * periodUs) {
+        if (item.ageUs() > SharedIntake.OLD_USAGE_PERIODS * periodUs) {
             return;
         }
         Sums sums = item.sums();
--- a/src/main/java/pearusher/serve/Serve.java
+++ b/src/main/java/pearusher/serve/Serve.java
@@ -41,7 +41,7 @@
     }
 
     Serve(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker, LongSupplier clock,
-            Consumer<Throwable> failed, Durable durable, Waiting intake) {
+            Consumer<Throwable> failed, Durable durable, SharedIntake intake) {
         this.durable = durable;
         threads.setName("io");
         threads.setDaemon(true);
@@ -145,7 +145,7 @@
             Logger.error("can't start on the store: {}", e.getMessage());
             return 1;
         }
-        Waiting intake = extras.intake() == null ? null : new Waiting(extras.intake());
+        SharedIntake intake = extras.intake() == null ? null : new SharedIntake(extras.intake());
         Serve serve = new Serve(config, maker, Exchange.unixClock(), failed, durable, intake);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             if (!failing.get()) {
--- a/src/main/java/pearusher/serve/Waiting.java
+++ b/src/main/java/pearusher/serve/SharedIntake.java
@@ -11,7 +11,7 @@
  * The intake behind a lock: streams put reports in on their threads, the decision thread takes them out. It
  * says when a flood begins and ends. It must never hold the lock while the module works.
  */
-final class Waiting {
+final class SharedIntake {
     /** How long the decision thread sleeps at most while reports of a flood wait, in microseconds. */
     static final long SERVE_US = 20_000;
 
@@ -21,7 +21,7 @@
     private final Intake intake;
     private final List<Item> items = new ArrayList<>();
 
-    Waiting(Intake.Bounds bounds) {
+    SharedIntake(Intake.Bounds bounds) {
         intake = new Intake(bounds, new Intake.Events() {
             @Override
             public void flood(int origin, double part) {
--- a/src/test/java/pearusher/serve/IntakeServeTest.java
+++ b/src/test/java/pearusher/serve/IntakeServeTest.java
@@ -27,7 +27,7 @@
     Path dir;
 
     /** A day of reports, joins and lists drawn from a seed; what the module was told, event by event. */
-    private List<String> told(Waiting intake, long seed) throws Exception {
+    private List<String> told(SharedIntake intake, long seed) throws Exception {
         Scripted module = new Scripted();
         AtomicLong clock = new AtomicLong(1_000_000_000_000_000L);
         Exchange exchange = new Exchange(new Example().read(dir), module, clock::get, failure -> { }, null,
@@ -77,7 +77,8 @@
         for (long seed = 0; seed < 20; seed++) {
             List<String> before = told(null, seed);
             assertTrue(before.size() > 300, "" + before.size());
-            List<String> now = told(new Waiting(new Intake.Bounds(1000, 100, 10, 1_000_000, 3_600_000_000L,
+            List<String> now = told(new SharedIntake(
+                    new Intake.Bounds(1000, 100, 10, 1_000_000, 3_600_000_000L,
                     true, 1)), seed);
             for (int k = 0; k < before.size(); k++) {
                 assertEquals(before.get(k), now.get(k), "seed " + seed + " event " + k);
@@ -95,7 +96,8 @@
         Scripted module = new Scripted();
         Serve serve = null;
         try (Stand.Http discovery = new Stand.Http()) {
-            Waiting waiting = new Waiting(new Intake.Bounds(500, 100, 50, 300_000, 3_600_000_000L, true, 1));
+            SharedIntake waiting = new SharedIntake(
+                    new Intake.Bounds(500, 100, 50, 300_000, 3_600_000_000L, true, 1));
             serve = new Serve(new Example().discovery(discovery.address()).read(dir), module,
                     Exchange.unixClock(), failure -> { }, null, waiting);
             module.on(serve.exchange());
@@ -149,7 +151,8 @@
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         System.setOut(new PrintStream(log, true, StandardCharsets.UTF_8));
         try {
-            Waiting waiting = new Waiting(new Intake.Bounds(100, 100, 1000, 300_000, 5_000_000, true, 1));
+            SharedIntake waiting = new SharedIntake(
+                    new Intake.Bounds(100, 100, 1000, 300_000, 5_000_000, true, 1));
             for (int k = 0; k < 50; k++) {
                 waiting.offer(report(3, "s1"), () -> { });
             }
@@ -198,7 +201,8 @@
         Example example = new Example();
         String json = example.json();
         int from = json.indexOf("\"instances\": [") + "\"instances\": [".length();
-        Waiting waiting = new Waiting(new Intake.Bounds(relays, 4 * relays, 200, 300_000, 3_600_000_000L,
+        SharedIntake waiting = new SharedIntake(
+                new Intake.Bounds(relays, 4 * relays, 200, 300_000, 3_600_000_000L,
                 true,
                 7));
         long[] view = new long[servers];
