Lists of servers are read as a stream and kept as records only

Cause: a list was held as text of up to 2 MiB, doubled while it grew, and then flattened into one string key a field; the configuration's known list likewise, and copied once more. Under the run line's heap that limited the size of a fleet.

Change: ListingReader takes bytes as they come (Jackson's non-blocking parser) and builds the records of the servers; the same tokens are taken from the configuration's file, which is read twice through one channel, first without the known list. ListLimits derives from the heap how many servers a list may name; a longer one is refused at once with one log line and counts as a failed call. The directory of names, numbers and addresses was three maps in Exchange and is one class now, which keeps no record of a list and no second copy of a name.

GrowthTest: one of the sizes that it compares is gone with its map; it compares all others as before, at their new places. MessageTest and ServeTest read their lists through the new reader.

--- a/src/bench/java/pearusher/serve/WireSizes.java
+++ b/src/bench/java/pearusher/serve/WireSizes.java
@@ -1,6 +1,7 @@
 package pearusher.serve;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -67,13 +68,23 @@
             json.append(k > 0 ? "," : "").append(ENTRY.formatted(server(k), k / 250, k % 250));
         }
         byte[] text = json.append("]}").toString().getBytes(StandardCharsets.UTF_8);
-        int read = Message.Listing.of(text, config.names()).instances().size();
+        int read = read(config, text);
         if (read != servers) {
             throw new IllegalStateException("of " + servers + " entries " + read + " were read");
         }
         return text.length;
     }
 
+    private static int read(Config config, byte[] text) throws SettingsException {
+        ListingReader reader = new ListingReader(config.names(), config.lists());
+        try {
+            reader.feed(ByteBuffer.wrap(text));
+        } catch (ListTooLongException e) {
+            throw new IllegalStateException("a list that the program does not take", e);
+        }
+        return reader.endOfBody().instances().size();
+    }
+
     /** A whole table whose weights have the digits that weights of floats have. */
     private static int update(int lines) {
         Map<String, Double> table = new LinkedHashMap<>();
--- a/src/main/java/pearusher/serve/Config.java
+++ b/src/main/java/pearusher/serve/Config.java
@@ -1,8 +1,13 @@
 package pearusher.serve;
 
+import java.io.FilterInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.nio.channels.Channels;
+import java.nio.channels.SeekableByteChannel;
 import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,8 +25,12 @@
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-        Message.Listing known, Assigner.Settings settings, Names names, Timeouts timeouts) {
+        Message.Listing known, Assigner.Settings settings, Names names, Timeouts timeouts,
+        ListLimits lists) {
 
+    /** What the file is called in faults. */
+    static final String NAME = "configuration";
+    private static final String KNOWN = "known";
     private static final String OCTET = "(\\d{1,2}|1\\d\\d|2[0-4]\\d|25[0-5])";
 
     /** Time-outs of input and output, in milliseconds: all may be set under the key timeouts. */
@@ -61,7 +70,11 @@
     }
 
     static Config read(Map<String, String> environment) throws SettingsException {
-        return read(environment, true);
+        return read(environment, ListLimits.ofThisProcess());
+    }
+
+    static Config read(Map<String, String> environment, ListLimits lists) throws SettingsException {
+        return read(environment, lists, true);
     }
 
     /**
@@ -69,25 +82,42 @@
      * peers are, its time limits and descriptors. Its settings stay, and the list, which it knows better.
      */
     Config reload(Map<String, String> environment) throws SettingsException {
-        Config now = read(environment, false);
+        Config now = read(environment, lists, false);
         if (now.peers.size() != peers.size()) {
             throw new SettingsException("configuration: the key peers lists " + now.peers.size()
                     + " addresses, until now " + peers.size());
         }
         return new Config(name, listen, now.discovery, now.sockets, peerListen, now.peers, now.peersAll,
-                known, settings, names, now.timeouts);
+                known, settings, names, now.timeouts, lists);
     }
 
-    /** A variable can't change while the process runs: later on the file alone says where discovery is. */
-    private static Config read(Map<String, String> environment, boolean start) throws SettingsException {
+    /**
+     * Reads the file twice through one open channel, since the list of servers can be read only once the
+     * names of the zones are known: a file that is replaced meanwhile is not mixed with its follower.
+     */
+    private static Config read(Map<String, String> environment, ListLimits lists, boolean start)
+            throws SettingsException {
         String file = variable(environment, "EDGE_CONFIG");
-        byte[] text;
-        try {
-            text = Files.readAllBytes(Path.of(file));
-        } catch (IOException | RuntimeException e) {
+        try (SeekableByteChannel channel = Files.newByteChannel(Path.of(file))) {
+            return read(environment, lists, start, channel);
+        } catch (IOException | InvalidPathException e) {
             throw new SettingsException("EDGE_CONFIG: " + file + " can't be read");
         }
-        Paths at = Paths.json("configuration", text);
+    }
+
+    /** A stream over the whole channel, which it leaves open. */
+    private static InputStream from(SeekableByteChannel channel) throws IOException {
+        channel.position(0);
+        return new FilterInputStream(Channels.newInputStream(channel)) {
+            @Override
+            public void close() { }
+        };
+    }
+
+    /** A variable can't change while the process runs: later on the file alone says where discovery is. */
+    private static Config read(Map<String, String> environment, ListLimits lists, boolean start,
+            SeekableByteChannel file) throws SettingsException, IOException {
+        Paths at = Paths.json(NAME, from(file), KNOWN);
         String name = same(environment, "EDGE_NAME", at, "name");
         InetSocketAddress listen = address("listen", same(environment, "EDGE_LISTEN", at, "listen"));
         InetSocketAddress discovery = address("discovery", !start && at.has("discovery")
@@ -126,11 +156,10 @@
                 at.between("timeouts.answer_ms", 1, 60_000, 3000),
                 at.between("timeouts.silent_ms", 1, 600_000, 5000),
                 at.between("timeouts.stranger_ms", 1, 600_000, 2000));
-        Message.Listing known = at.has("known.generation") ? Message.Listing.of(at.below("known."), names)
-                : new Message.Listing(0, true, List.of());
+        Message.Listing known = ListingReader.under(KNOWN, from(file), names, lists);
         int sockets = at.between("limits.sockets", 128, 1 << 20, 1024);
         return new Config(name, listen, discovery, sockets, peerListen, List.copyOf(peers), peersAll,
-                known, settings, names, timeouts);
+                known, settings, names, timeouts, lists);
     }
 
     private static String variable(Map<String, String> environment, String key) throws SettingsException {
--- a/src/main/java/pearusher/serve/Durable.java
+++ b/src/main/java/pearusher/serve/Durable.java
@@ -131,17 +131,18 @@
     }
 
     /** Hands the module and the tables what an earlier process had ordered; names become numbers. */
-    void restore(long now, Message.Listing known, Map<String, Long> ids, Tables tables, Assigner module) {
+    void restore(long now, Message.Listing known, ServerDirectory servers, Tables tables,
+            Assigner module) {
         ledger.begin(known.instances().stream().filter(one -> one.state() != Assigner.State.GONE)
                 .map(Durable::listedServer).toList(), now);
         Set<String> out = ledger.out();
-        out.stream().filter(ids::containsKey).forEach(name -> tables.restoreOut(ids.get(name)));
+        out.stream().filter(servers::knows).forEach(name -> tables.restoreOut(servers.number(name)));
         // With no table there is a mark at least: a proxy must not take a new one for one that it answered.
         Set<Integer> numbers = new TreeSet<>(ledger.tables());
         numbers.add(0);
         for (int number : numbers) {
             Map<Long, Double> weights = new HashMap<>();
-            ledger.lines(number).forEach((name, weight) -> weights.put(ids.get(name), weight));
+            ledger.lines(number).forEach((name, weight) -> weights.put(servers.number(name), weight));
             Map<Integer, Level> levels = ledger.levels(number,
                     config.settings().grades().stream().map(Assigner.Grade::effect).toList());
             Map<Integer, Message.Level> orders = new HashMap<>();
--- a/src/main/java/pearusher/serve/Exchange.java
+++ b/src/main/java/pearusher/serve/Exchange.java
@@ -1,9 +1,9 @@
 package pearusher.serve;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
@@ -89,10 +89,7 @@
     private final ReportIntake reports;
 
     // All below belongs to the decision thread.
-    private final Map<String, Long> ids = new HashMap<>();
-    /** Names by number; a number is never used again for another server. */
-    private final Map<Long, String> servers = new HashMap<>();
-    private final Map<Long, Message.Instance> addresses = new HashMap<>();
+    private final ServerDirectory servers = new ServerDirectory();
     private final Tables tables;
     private final StreamMembership streams;
     private final TableOrders orders;
@@ -102,7 +99,8 @@
     private Assigner module;
     private Calls calls;
     private Mail mail;
-    private long serversMade;
+    /** Lists that would have made more servers known than the heap holds. */
+    private long refusedLists;
 
     Exchange(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker,
             LongSupplier clock, Consumer<Throwable> failed) {
@@ -116,10 +114,11 @@
         this.maker = maker;
         loop = new EventLoop(clock, failed, new Turn());
         queue = new ReportQueue(loop);
-        reports = new ReportIntake(loop, queue, intake, config.settings().periodUs(), () -> module, ids::get);
-        tables = new Tables(config.names().classes(), servers::get);
+        reports = new ReportIntake(loop, queue, intake, config.settings().periodUs(), () -> module,
+                servers::number);
+        tables = new Tables(config.names().classes(), servers::name);
         streams = new StreamMembership(loop, tables, durable, () -> module, this::numbers);
-        orders = new TableOrders(tables, durable, config.names().classes().size(), servers::get,
+        orders = new TableOrders(tables, durable, config.names().classes().size(), servers::name,
                 this::numbers);
         listState = new ServerListState(config.settings().limits().askWithinUs());
     }
@@ -143,7 +142,7 @@
         Message.Listing known = durable == null ? config.known() : durable.known();
         list(Assigner.ListForm.CACHED, known);
         if (durable != null) {
-            durable.restore(loop.nowUs(), known, ids, tables, module);
+            durable.restore(loop.nowUs(), known, servers, tables, module);
         }
         if (!config.settings().listOnRequest()) {
             // Where changes come unasked the module doesn't ask for them.
@@ -201,8 +200,8 @@
     private Map<Long, Boolean> numbers(Map<String, Boolean> byName) {
         Map<Long, Boolean> out = new TreeMap<>();
         byName.forEach((name, value) -> {
-            if (ids.containsKey(name)) {
-                out.put(ids.get(name), value);
+            if (servers.knows(name)) {
+                out.put(servers.number(name), value);
             }
         });
         return out;
@@ -310,18 +309,19 @@
     }
 
     private void list(Assigner.ListForm form, Message.Listing what) {
+        if (form != Assigner.ListForm.CACHED && tooManyKnown(what)) {
+            calls.watch(false, listState.generation());
+            tellListFailed();
+            return;
+        }
         listState.hold(what.generation());
         List<Assigner.Entry> entries = new ArrayList<>();
         for (Message.Instance one : what.instances()) {
             // That a server is gone which nobody knows says nothing, and would be kept for good.
-            if (one.state() == Assigner.State.GONE && !ids.containsKey(one.server())) {
+            if (one.state() == Assigner.State.GONE && !servers.knows(one.server())) {
                 continue;
             }
-            long id = ids.computeIfAbsent(one.server(), name -> {
-                servers.put(serversMade, name);
-                return serversMade++;
-            });
-            addresses.put(id, one);
+            long id = servers.list(one.server(), one.hostPort());
             entries.add(new Assigner.Entry(id, one.zone(), one.kind(), one.cell(), one.state(), one.weight(),
                     one.startedUs()));
         }
@@ -331,6 +331,22 @@
         module.listed(loop.nowUs(), form, entries);
     }
 
+    /**
+     * Guards the heap against lists of changes that are short one by one and name new servers without end,
+     * and against whole lists that follow each other faster than the module forgets.
+     */
+    private boolean tooManyKnown(Message.Listing what) {
+        int room = config.lists().known() - servers.names();
+        if (what.instances().size() <= room || what.instances().stream().filter(
+                one -> one.state() != Assigner.State.GONE && !servers.knows(one.server())).count() <= room) {
+            return false;
+        }
+        if (Long.bitCount(++refusedLists) == 1) {
+            Logger.warn("discovery: with the servers known before, a list of {}", config.lists().overKnown());
+        }
+        return true;
+    }
+
     // Orders, from the module.
 
     @Override
@@ -386,7 +402,7 @@
 
     @Override
     public void probe(long server) {
-        calls.probe(server, addresses.get(server).hostPort());
+        calls.probe(server, servers.hostPort(server));
     }
 
     @Override
@@ -398,17 +414,15 @@
     @Override
     public void forget(long server) {
         if (durable != null) {
-            durable.ledger().forget(servers.get(server));
+            durable.ledger().forget(servers.name(server));
         }
-        ids.remove(servers.remove(server));
-        addresses.remove(server);
+        servers.forget(server);
         tables.forget(server);
     }
 
     /** What is kept by server, proxy and timer, for tests of what must not grow. */
     List<Integer> sizes() {
-        return List.of(ids.size(), servers.size(), addresses.size(), streams.size(), loop.timers(),
-                tables.size());
+        return List.of(servers.names(), servers.numbers(), streams.size(), loop.timers(), tables.size());
     }
 
     @Override
@@ -422,7 +436,8 @@
         Matcher at = SERVER.matcher(text);
         Logger.info(at.replaceAll(m -> {
             long id = Long.parseLong(m.group(1), 16);
-            return Matcher.quoteReplacement("server " + servers.getOrDefault(id, m.group(1)));
+            return Matcher.quoteReplacement("server "
+                    + Objects.requireNonNullElse(servers.name(id), m.group(1)));
         }));
     }
 }
--- a/src/main/java/pearusher/serve/Message.java
+++ b/src/main/java/pearusher/serve/Message.java
@@ -242,44 +242,43 @@
      * A line of discovery's list; a zone or kind is its position in the settings, address null if unusable.
      */
     record Instance(String server, String hostPort, int zone, int kind, int cell, Assigner.State state,
-            double weight, long startedUs) { }
-
-    /** Discovery's answer: the whole list, or what changed. */
-    record Listing(long generation, boolean whole, List<Instance> instances) {
+            double weight, long startedUs) {
 
         private static final Map<String, Assigner.State> STATES = Map.of("in_service", Assigner.State.READY,
                 "terminating", Assigner.State.DRAINING, "terminated", Assigner.State.GONE);
-
-        static Listing of(byte[] json, Config.Names names) throws SettingsException {
-            return of(Paths.json("list", json), names);
-        }
+        /** No address and port that can be used is longer. */
+        private static final int MOST_ADDRESS = 64;
 
         /**
-         * Lines in a zone that the settings don't have are passed over; a lifecycle that is not known is one
-         * that wants nothing new.
+         * One of its fields; null in a zone that the settings don't have, which is passed over. A lifecycle
+         * that is not known is one that wants nothing new.
          */
-        static Listing of(Paths at, Config.Names names) throws SettingsException {
-            List<Instance> out = new ArrayList<>();
-            int count = at.between("instances.count", 0, 1 << 20, 0);
-            for (int k = 0; k < count; k++) {
-                Paths one = at;
-                String path = "instances." + k + ".";
-                Integer zone = names.zones().get(one.need(path + "zone"));
-                if (zone == null) {
-                    continue;
-                }
-                String kind = one.text(path + "machineType");
-                out.add(new Instance(one.need(path + "instanceId"), one.text(path + "hostPort"), zone,
-                        names.kinds().getOrDefault(kind, names.kinds().size()),
-                        (int) one.optional(path + "cell"),
-                        STATES.getOrDefault(one.need(path + "lifecycle"), Assigner.State.DRAINING),
-                        one.has(path + "weight") ? one.real(path + "weight") : 1,
-                        Math.round(one.optional(path + "startedAtMs") * 1000)));
+        static Instance of(Paths at, Config.Names names) throws SettingsException {
+            Integer zone = names.zones().get(at.need("zone"));
+            if (zone == null) {
+                return null;
             }
-            return new Listing(at.whole("generation"), at.flag("reset"), out);
+            String id = at.need("instanceId");
+            if (id.codePointCount(0, id.length()) > ListLimits.MOST_ID) {
+                throw at.fault("instanceId", "is longer than " + ListLimits.MOST_ID + " characters: '"
+                        + brief(id) + "'");
+            }
+            String hostPort = at.text("hostPort");
+            return new Instance(id, hostPort == null || hostPort.length() > MOST_ADDRESS ? null : hostPort,
+                    zone, names.kinds().getOrDefault(at.text("machineType"), names.kinds().size()),
+                    (int) at.optional("cell"),
+                    STATES.getOrDefault(at.need("lifecycle"), Assigner.State.DRAINING),
+                    at.has("weight") ? at.real("weight") : 1,
+                    Math.round(at.optional("startedAtMs") * 1000));
         }
     }
 
+    /** Discovery's answer: the whole list, or what changed. */
+    record Listing(long generation, boolean whole, List<Instance> instances) {
+        /** What is known where nothing was told. */
+        static final Listing NONE = new Listing(0, true, List.of());
+    }
+
     /** A way of trying again and a level, which come as a pair. */
     record Level(double level, int retry) { }
 
--- a/src/main/java/pearusher/serve/Outbound.java
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -38,8 +38,6 @@
  * never call again by itself: when to ask is the module's.
  */
 final class Outbound extends SelectorManager implements Exchange.Calls {
-    /** Bytes of a list or of a line of a watch: some nine thousand servers, read within a small heap. */
-    private static final int MOST_LIST = 2 << 20;
     private static final int MOST_LOAD = 4 << 10;
 
     /** What a call is for. */
@@ -52,6 +50,7 @@
     private volatile Call watch;
     private volatile boolean lost;
     private final AtomicLong unreadable = new AtomicLong();
+    private final AtomicLong tooLong = new AtomicLong();
 
     Outbound(Config config, Exchange exchange, Executor executor, Scheduler scheduler) {
         super(executor, scheduler, 1);
@@ -119,7 +118,10 @@
         private final long server;
         private final String path;
         private final long startNs = System.nanoTime();
+        /** The body of a probe's answer. */
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        /** Reads what discovery answers; null for a probe. */
+        private final ListingReader lists;
         private final HttpParser parser = new HttpParser(this);
         private Scheduler.Task limit;
         private String host;
@@ -135,6 +137,7 @@
             this.purpose = purpose;
             this.server = server;
             this.path = path;
+            lists = purpose == Purpose.PROBE ? null : new ListingReader(config.names(), config.lists());
         }
 
         void dial(InetSocketAddress to) {
@@ -318,20 +321,56 @@
 
         @Override
         public boolean content(ByteBuffer part) {
-            int most = purpose == Purpose.PROBE ? MOST_LOAD : MOST_LIST;
-            while (part.hasRemaining() && !done()) {
-                byte b = part.get();
-                if (purpose == Purpose.WATCH && status == 200 && b == '\n') {
-                    line();
-                } else if (body.size() >= most) {
-                    finish(Ending.TOO_LONG);
-                } else {
-                    body.write(b);
-                }
+            if (purpose == Purpose.PROBE) {
+                load(part);
+            } else if (status == 200) {
+                list(part);
             }
+            part.position(part.limit());
             return false;
         }
 
+        private void load(ByteBuffer part) {
+            if (body.size() + part.remaining() > MOST_LOAD) {
+                finish(Ending.TOO_LONG);
+                return;
+            }
+            while (part.hasRemaining()) {
+                body.write(part.get());
+            }
+        }
+
+        /** Hands a part of a list to its reader, a watch's line by line. */
+        private void list(ByteBuffer part) {
+            try {
+                while (part.hasRemaining() && !done()) {
+                    int lineEnd = purpose == Purpose.WATCH ? lineEnd(part) : -1;
+                    int end = lineEnd < 0 ? part.limit() : lineEnd;
+                    lists.feed(part.duplicate().limit(end));
+                    part.position(end);
+                    if (lineEnd >= 0) {
+                        part.get();
+                        line();
+                    }
+                }
+            } catch (ListTooLongException e) {
+                // The same list comes again at each call: told at 1, 2, 4, 8 ...
+                if (Long.bitCount(tooLong.incrementAndGet()) == 1) {
+                    Logger.warn("discovery: a list of {}", e.getMessage());
+                }
+                finish(Ending.TOO_LONG);
+            }
+        }
+
+        private int lineEnd(ByteBuffer part) {
+            for (int at = part.position(); at < part.limit(); at++) {
+                if (part.get(at) == '\n') {
+                    return at;
+                }
+            }
+            return -1;
+        }
+
         /**
          * The next line of a watch must be whole in time. Guards against one that brings a byte now and then:
          * it is never idle, and would never tell anything again.
@@ -348,31 +387,33 @@
 
         /** A line of a watch; an empty one is a beat. */
         private void line() {
-            byte[] text = body.toByteArray();
-            body.reset();
             lineDue();
             try {
-                boolean beat = text.length == 0 || text.length == 1 && text[0] == '\r';
-                if (beat && up) {
+                Message.Listing told = lists.endOfLine();
+                if (told == null && up) {
                     return;
                 }
-                if (!beat) {
-                    exchange.listed(Message.Listing.of(text, config.names()), !up, () -> watch == this);
+                if (told != null) {
+                    exchange.listed(told, !up, () -> watch == this);
                 }
-                up |= !beat;
+                up |= told != null;
                 if (lost && watch == this) {
                     lost = false;
                     Logger.info("discovery back");
                 }
             } catch (SettingsException e) {
-                // It may say the same at each watch: told at 1, 2, 4, 8 ...
-                if (Long.bitCount(unreadable.incrementAndGet()) == 1) {
-                    Logger.warn("discovery: a line can't be read: {}", e.getMessage());
-                }
+                unreadable("line", e);
                 finish(Ending.GARBAGE);
             }
         }
 
+        /** It may say the same at each call: told at 1, 2, 4, 8 ... */
+        private void unreadable(String what, SettingsException why) {
+            if (Long.bitCount(unreadable.incrementAndGet()) == 1) {
+                Logger.warn("discovery: a {} can't be read: {}", what, why.getMessage());
+            }
+        }
+
         @Override
         public boolean contentComplete() {
             return false;
@@ -384,13 +425,14 @@
             if (ending.answered()) {
                 try {
                     if (purpose == Purpose.FETCH) {
-                        list = Message.Listing.of(body.toByteArray(), config.names());
+                        list = lists.endOfBody();
                     } else if (purpose == Purpose.PROBE) {
                         load = Message.probeLoad(body.toByteArray(), config.names());
                     } else {
                         ending = Ending.CLOSED;
                     }
                 } catch (SettingsException e) {
+                    unreadable("list", e);
                     ending = Ending.GARBAGE;
                 }
             }
--- a/src/main/java/pearusher/settings/Paths.java
+++ b/src/main/java/pearusher/settings/Paths.java
@@ -2,8 +2,13 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayInputStream;
+import java.io.CharConversionException;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,10 +22,20 @@
  */
 public final class Paths {
     private final String what;
-    private final Map<String, String> values = new HashMap<>();
+    private final Map<String, String> values;
 
     private Paths(String what) {
+        this(what, new HashMap<>());
+    }
+
+    private Paths(String what, Map<String, String> values) {
         this.what = what;
+        this.values = values;
+    }
+
+    /** Values that were read elsewhere, not copied; {@code what} stands before the path in each fault. */
+    public static Paths of(String what, Map<String, String> values) {
+        return new Paths(what, values);
     }
 
     /** The simulator's form. */
@@ -35,34 +50,54 @@
         return out;
     }
 
-    /** The configuration's form, and discovery's; faults begin with what the text is. */
+    /** The configuration's form; faults begin with what the text is. */
     public static Paths json(String name, byte[] text) throws SettingsException {
+        try {
+            return json(name, new ByteArrayInputStream(text), "");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The same of a stream, without what stands under one key, which is checked for its form only. */
+    public static Paths json(String name, InputStream text, String without)
+            throws SettingsException, IOException {
         Paths out = new Paths(name + ": the key ");
         try (JsonParser in = new JsonFactory().createParser(text)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new SettingsException(name + ": not a JSON object");
             }
-            out.object(in, "");
+            out.object(in, "", without);
             if (in.nextToken() != null) {
                 throw new SettingsException(name + ": text after the JSON object");
             }
-        } catch (IOException e) {
-            throw new SettingsException(name + ": malformed JSON: " + e.getMessage().lines().findFirst()
-                    .orElse(""));
+        } catch (JsonProcessingException | CharConversionException e) {
+            throw malformed(name, e);
         }
         return out;
     }
 
-    private void object(JsonParser in, String prefix) throws IOException {
+    /** The fault of a text that is no JSON. */
+    public static SettingsException malformed(String name, IOException why) {
+        String text = String.valueOf(why.getMessage());
+        return new SettingsException(name + ": malformed JSON: " + text.lines().findFirst().orElse(""));
+    }
+
+    private void object(JsonParser in, String prefix, String without) throws IOException {
         while (in.nextToken() == JsonToken.FIELD_NAME) {
             String key = prefix + in.currentName();
-            value(in, in.nextToken(), key);
+            JsonToken first = in.nextToken();
+            if (key.equals(without)) {
+                in.skipChildren();
+            } else {
+                value(in, first, key);
+            }
         }
     }
 
     private void value(JsonParser in, JsonToken first, String key) throws IOException {
         if (first == JsonToken.START_OBJECT) {
-            object(in, key + ".");
+            object(in, key + ".", "");
         } else if (first == JsonToken.START_ARRAY) {
             StringJoiner plain = new StringJoiner(",");
             int n = 0;
--- a/src/main/java/pearusher/settings/SettingsException.java
+++ b/src/main/java/pearusher/settings/SettingsException.java
@@ -1,7 +1,7 @@
 package pearusher.settings;
 
 /** A setting or a key of the configuration that is missing or can't be used; the text names it. */
-public final class SettingsException extends Exception {
+public class SettingsException extends Exception {
     private static final long serialVersionUID = 1L;
 
     public SettingsException(String text) {
--- a/src/test/java/pearusher/serve/GrowthTest.java
+++ b/src/test/java/pearusher/serve/GrowthTest.java
@@ -191,8 +191,8 @@
         for (int round = 0; round < 120; round++) {
             period(List.of());
         }
-        assertEquals(List.of(2, 2, 2, 0), exchange.sizes().subList(0, 4), "the two of the known list stay");
-        assertTrue(exchange.sizes().get(4) <= 3 && exchange.sizes().get(5) <= 2, "" + exchange.sizes());
+        assertEquals(List.of(2, 2, 0), exchange.sizes().subList(0, 3), "the two of the known list stay");
+        assertTrue(exchange.sizes().get(3) <= 3 && exchange.sizes().get(4) <= 2, "" + exchange.sizes());
     }
 
     /** A server that comes back under its name after it was forgotten is served, whoever shut it out once. */
--- a/src/test/java/pearusher/serve/MessageTest.java
+++ b/src/test/java/pearusher/serve/MessageTest.java
@@ -163,17 +163,17 @@
 
     @Test
     void listsAreRead() throws Exception {
-        Message.Listing got = Message.Listing.of(Stand.listing(43, false,
+        Message.Listing got = Stand.read(Stand.listing(43, false,
                 Stand.instance("a", "127.0.0.1:1", "south", "terminating", 1_700_000_000_123L),
                 Stand.instance("b", "127.0.0.1:2", "north", "terminated", 0),
                 Stand.instance("c", "127.0.0.1:3", "nowhere", "in_service", 0),
-                Stand.instance("d", "127.0.0.1:4", "north", "resting", 0)).getBytes(), names);
+                Stand.instance("d", "127.0.0.1:4", "north", "resting", 0)), names);
         assertEquals(43, got.generation());
         assertEquals(List.of(new Message.Instance("a", "127.0.0.1:1", 1, 0, 0, Assigner.State.DRAINING, 1,
                 1_700_000_000_123_000L), new Message.Instance("b", "127.0.0.1:2", 0, 0, 0,
                         Assigner.State.GONE,
                 1, 0), new Message.Instance("d", "127.0.0.1:4", 0, 0, 0, Assigner.State.DRAINING, 1, 0)),
                 got.instances());
-        assertTrue(!got.whole() && Message.Listing.of(Stand.listing(0, true).getBytes(), names).whole());
+        assertTrue(!got.whole() && Stand.read(Stand.listing(0, true), names).whole());
     }
 }
--- a/src/test/java/pearusher/serve/ServeTest.java
+++ b/src/test/java/pearusher/serve/ServeTest.java
@@ -314,7 +314,7 @@
                     big.append(k == 0 ? "" : ",").append(Stand.instance("s-many-" + k, "127.0.0.1:1", "north",
                             "in_service", 0));
                 }
-                Message.Listing list = Message.Listing.of(Stand.listing(99, false, big.toString()).getBytes(),
+                Message.Listing list = Stand.read(Stand.listing(99, false, big.toString()),
                         example.read(dir).names());
                 running.get(0).exchange().listed(list, false);
                 module.hear("listed CHANGES");
@@ -565,9 +565,9 @@
         }
         start();
         module.hear("listed CACHED");
-        running.get(0).exchange().listed(Message.Listing.of(Stand.listing(60, false,
+        running.get(0).exchange().listed(Stand.read(Stand.listing(60, false,
                 Stand.instance("s-5be2a07c",
-                address, "north", "in_service", 0)).getBytes(), example.read(dir).names()), false);
+                address, "north", "in_service", 0)), example.read(dir).names()), false);
         module.hear("listed CHANGES");
         module.order(o -> o.probe(0));
         if (!List.of("refused", "nowhere", "full").contains(how)) {
--- a/src/test/java/pearusher/serve/Stand.java
+++ b/src/test/java/pearusher/serve/Stand.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,6 +21,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.BooleanSupplier;
+import pearusher.settings.SettingsException;
 
 /** Small stand-ins for the outside systems, written from the protocol's page, and waits on conditions. */
 final class Stand {
@@ -336,4 +338,11 @@
         return "{\"generation\":" + generation + ",\"reset\":" + reset + ",\"instances\":["
                 + String.join(",", instances) + "]}";
     }
+
+    /** A whole text as the reader of lists takes it. */
+    static Message.Listing read(String text, Config.Names names) throws SettingsException {
+        ListingReader reader = new ListingReader(names, ListLimits.ofThisProcess());
+        reader.feed(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        return reader.endOfBody();
+    }
 }
