--- a/src/main/java/pearusher/serve/ListingBuilder.java
+++ b/src/main/java/pearusher/serve/ListingBuilder.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.StringJoiner;
 import pearusher.settings.Paths;
 import pearusher.settings.SettingsException;
 
@@ -38,8 +37,9 @@
     private int passedOver;
     private String key;
     /** The plain values of the array at hand; null outside of one. */
-    private StringJoiner plain;
+    private StringBuilder plain;
     private boolean plainOnly;
+    private boolean plainEmpty;
 
     private List<Message.Instance> instances = List.of();
     private SettingsException fault;
@@ -172,8 +172,9 @@
         if (token == JsonToken.FIELD_NAME) {
             key = in.currentName();
         } else if (token == JsonToken.START_ARRAY && wanted.contains(key)) {
-            plain = new StringJoiner(",");
+            plain = new StringBuilder();
             plainOnly = true;
+            plainEmpty = true;
         } else if (token.isStructStart()) {
             passedOver = 1;
         } else if (token != JsonToken.VALUE_NULL && wanted.contains(key)) {
@@ -191,7 +192,8 @@
             plainOnly = false;
             passedOver = 1;
         } else if (plain.length() + in.getTextLength() <= limits.textLength()) {
-            plain.add(in.getText());
+            plain.append(plainEmpty ? "" : ",").append(in.getText());
+            plainEmpty = false;
         } else {
             throw new SettingsException(name + ": a list of plain values under " + key + " of over "
                     + limits.textLength() + " characters");
--- a/src/main/java/pearusher/serve/ListingReader.java
+++ b/src/main/java/pearusher/serve/ListingReader.java
@@ -19,6 +19,8 @@
  */
 final class ListingReader {
     private static final String NAME = "list";
+    /** Bytes that a character may be written with: an escape such as a backslash, u and four digits. */
+    private static final int MOST_BYTES_PER_CHARACTER = 6;
 
     private final Config.Names names;
     private final ListLimits limits;
@@ -27,6 +29,8 @@
     private JsonParser parser;
     private ListingBuilder builder;
     private SettingsException fault;
+    /** Bytes since the last token: the parser holds them. */
+    private long unfinished;
     /** Nothing came since the last object but, at most, a carriage return. */
     private boolean empty = true;
 
@@ -37,7 +41,9 @@
     }
 
     private static JsonFactory factory(ListLimits limits) {
+        // No table of field names: a text with new ones without end would fill it.
         return JsonFactory.builder().disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+                .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
                 .streamReadConstraints(StreamReadConstraints.builder()
                         .maxStringLength(limits.textLength()).build()).build();
     }
@@ -50,21 +56,42 @@
         empty = empty && parser == null && piece.remaining() == 1 && piece.get(piece.position()) == '\r';
         if (fault == null) {
             try {
-                open();
-                ((ByteBufferFeeder) parser.getNonBlockingInputFeeder()).feedInput(piece);
-                take();
+                parse(piece);
             } catch (ListTooLongException e) {
                 reset();
                 throw e;
             } catch (SettingsException e) {
-                fault = e;
+                spoilt(e);
             } catch (IOException e) {
-                fault = Paths.malformed(NAME, e);
+                spoilt(Paths.malformed(NAME, e));
             }
         }
         piece.position(piece.limit());
     }
 
+    private void parse(ByteBuffer piece) throws IOException, SettingsException {
+        open();
+        unfinished += piece.remaining();
+        ((ByteBufferFeeder) parser.getNonBlockingInputFeeder()).feedInput(piece);
+        take();
+        // The parser itself measures a number only once it ends.
+        if (unfinished > (long) limits.textLength() * MOST_BYTES_PER_CHARACTER) {
+            throw new SettingsException(NAME + ": malformed JSON: a value of over " + unfinished + " bytes");
+        }
+    }
+
+    /** The object at hand has a fault, which its end will tell. */
+    boolean spoilt() {
+        return fault != null;
+    }
+
+    /** What the object still brings is passed over. */
+    private void spoilt(SettingsException why) {
+        reset();
+        empty = false;
+        fault = why;
+    }
+
     private void open() throws IOException {
         if (parser == null) {
             parser = factory.createNonBlockingByteBufferParser();
@@ -75,6 +102,7 @@
     private void take() throws IOException, SettingsException {
         JsonToken token = parser.nextToken();
         while (token != null && token != JsonToken.NOT_AVAILABLE) {
+            unfinished = 0;
             builder.token(token, parser);
             token = parser.nextToken();
         }
@@ -116,6 +144,7 @@
         parser = null;
         builder = null;
         fault = null;
+        unfinished = 0;
         empty = true;
         if (old != null) {
             try {
