--- a/src/test/java/pearusher/serve/ConfigTest.java
+++ b/src/test/java/pearusher/serve/ConfigTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -160,6 +162,57 @@
                 SettingsReader.read(0x8c1f30d27a5be964L, all.below("settings.")));
     }
 
+    /** The list stands before the settings that it is read by or behind them, or twice. */
+    @Test
+    void theKnownListIsReadWhereverItStands() throws Exception {
+        Config first = new Example().read(dir);
+        String json = new Example().json();
+        int from = json.indexOf("  \"known\"");
+        String known = json.substring(from, json.indexOf("  \"settings\""));
+        Example moved = new Example().with(known, "").with("\"zonal\": false\n    }", "\"zonal\": false}");
+        String behind = "\"drainGraceUs\": 3000000, \"fallUs\": 2000000,\n              "
+                + "\"overloadFactor\": 2.5, \"rampTimeUs\": 17000000}\n  }";
+        moved.with(behind.substring(behind.indexOf("\"overloadFactor")), behind.substring(
+                behind.indexOf("\"overloadFactor")) + "," + known.strip().replaceFirst(",$", ""));
+        assertEquals(first.known(), moved.read(dir).known());
+        Example twice = new Example().with(known, "\"known\": {\"generation\": 1}," + known);
+        assertEquals(first.known(), twice.read(dir).known());
+        for (String none : List.of("null", "[]", "[{\"generation\": 1}]", "7", "{}", "{\"reset\": 7}")) {
+            assertEquals(Message.Listing.NONE, new Example().with(known, "\"known\": " + none + ",").read(dir)
+                    .known(), none);
+        }
+    }
+
+    @Test
+    void aKnownListOverTheLimitNamesItsKey() throws Exception {
+        ListLimits one = new ListLimits(1, 1000, 40 << 20);
+        assertEquals("configuration: the key known.instances names over 1 servers: the heap of 40 MB holds "
+                + "no more", fault(new Example().lists(one)));
+        assertEquals(2, new Example().lists(new ListLimits(2, 1000, 40 << 20)).read(dir).known().instances()
+                .size());
+        String said = fault(new Example().with("s-5be2a07c", "x".repeat(256)));
+        assertTrue(said.startsWith("configuration: the key known.instances.0.instanceId is longer than 255 "
+                + "characters: 'xxx"), said);
+    }
+
+    /** The file is not held as text: what it costs follows its servers. */
+    @Test
+    void aKnownListLeavesLittleBehindAsItIsRead() throws Exception {
+        StringBuilder servers = new StringBuilder();
+        for (int k = 0; k < 9100; k++) {
+            servers.append(Stand.instance("s-" + k, "10.1." + (k >> 8) + "." + (k & 255) + ":8080", "north",
+                    "in_service", 0)).append(",");
+        }
+        Map<String, String> environment = new Example().with("\"instances\": [", "\"instances\": ["
+                + servers).write(dir);
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        Config.read(environment);
+        long before = threads.getThreadAllocatedBytes(Thread.currentThread().getId());
+        assertEquals(9102, Config.read(environment).known().instances().size());
+        long bytes = threads.getThreadAllocatedBytes(Thread.currentThread().getId()) - before;
+        assertTrue(bytes < 2000L * 9102, bytes / 9102 + " bytes a server were allocated");
+    }
+
     /** A reload takes over where others are and the limits; the settings stay, whatever the file says. */
     @Test
     void aReloadTakesOverAddressesAndLimitsOnly() throws Exception {
