Scale run: lines and proxies that were asked for and not there at the end are a limit

A window in which the assigner takes fewer lines than asked, drops some or leaves them unread gave figures for work that was not done. It is a limit now, and no time a line is given. Lines are due by the clock, so that a stalled loop doesn't make them fewer.

--- a/src/bench/java/pearusher/scale/HollowCollectors.java
+++ b/src/bench/java/pearusher/scale/HollowCollectors.java
@@ -41,6 +41,7 @@
         private final List<Link> links = new ArrayList<>();
         private long said;
         private double due;
+        private long lastNs;
 
         Target(AssignerAddress assigner) {
             this.assigner = assigner;
@@ -50,7 +51,10 @@
         }
 
         void tick() {
-            due += shape.linesPerS() * TICK_NS / 1e9;
+            long now = System.nanoTime();
+            // By the clock, not by ticks: a stall of the loop must not make the lines fewer.
+            due += shape.linesPerS() * (now - lastNs) / 1e9;
+            lastNs = now;
             for (; due >= 1; due--) {
                 line();
             }
@@ -152,7 +156,10 @@
     }
 
     void report(boolean on) {
-        loop.execute(() -> reporting = on);
+        loop.execute(() -> {
+            reporting = on;
+            targets.forEach(target -> target.lastNs = System.nanoTime());
+        });
     }
 
     /** The servers that have traffic from now on. */
--- a/src/bench/java/pearusher/scale/ScaleRun.java
+++ b/src/bench/java/pearusher/scale/ScaleRun.java
@@ -14,6 +14,7 @@
     private static final int SPARE_DESCRIPTORS = 200;
     private static final long POLL_MS = 20;
     private static final double DRAIN_WAIT_S = 16;
+    private static final double LEAST_OF_REPORTS = 0.95;
     private static final double LIST_WAIT_S = 60;
 
     private final RunDescription run;
@@ -82,6 +83,29 @@
         awaitDrains(fleet);
         fleet.collectors().report(false);
         figures(fleet);
+        checkReached(fleet);
+    }
+
+    /** The window has passed: were the proxies and lines a second that were asked for there to its end? */
+    private void checkReached(Fleet fleet) throws IOException, LimitReached {
+        checkAlive(fleet);
+        int bound = (int) report.value("proxies_bound");
+        if (bound < run.proxies()) {
+            throw new LimitReached("binds: proxies were lost in the run", bound + " of " + run.proxies()
+                    + " proxies" + complaints(fleet));
+        }
+        boolean undisturbed = run.get(RunKey.KILL_AT) < 0 && run.get(RunKey.CUT_AT) < 0;
+        for (Fleet.Member member : fleet.members()) {
+            double heard = report.value("a" + member.number() + ".in.heard_messages");
+            if (undisturbed && heard < LEAST_OF_REPORTS * run.reportsPerS()) {
+                throw new LimitReached("reports: assigner " + member.number() + " takes no more",
+                        Report.text(heard) + " of " + Report.text(run.reportsPerS()) + " lines a second");
+            }
+            if (member.process().reportsDropped() != 0) {
+                throw new LimitReached("reports: assigner " + member.number() + " dropped some",
+                        "fewer than " + Report.text(heard) + " lines a second");
+            }
+        }
     }
 
     private void watch(Fleet fleet) throws InterruptedException, LimitReached, IOException {
@@ -200,7 +224,7 @@
         AssignerProcess process = member.process();
         String name = "a" + member.number() + ".";
         if (process.died()) {
-            tellDeath(member);
+            // Told with the limit that it is.
             return;
         }
         report.add(name + "died", 0, "1");
--- a/src/bench/java/pearusher/scale/Window.java
+++ b/src/bench/java/pearusher/scale/Window.java
@@ -10,6 +10,9 @@
     private record Begin(Fleet.Member member, AssignerProcess process, long ticks,
             Map<Traffic.Kind, Traffic.Count> traffic) { }
 
+    /** With more than this left unread, lines are not what was worked on. */
+    private static final long MOST_UNREAD_BYTES = 64 << 10;
+
     private final List<Begin> begins = new ArrayList<>();
     private final List<Map<Traffic.Kind, Traffic.Count>> hollow = new ArrayList<>();
     private final Fleet fleet;
@@ -36,10 +39,14 @@
             // A process that was ended or started anew within the window has no processor time of the window.
             if (begin.process() == begin.member().process() && begin.process().alive()) {
                 long ticks = ProcessFigures.ticks(begin.process().pid()) - begin.ticks();
-                processor(report, name, ticks * ProcessFigures.TICK_MS, seconds, traffic);
-                // Lines that were sent and not read are no work done: with many the figures mislead.
-                report.add(name + "unread_end",
-                        ProcessFigures.unreadBytes(begin.process().address().getPort()), "B");
+                long unread = ProcessFigures.unreadBytes(begin.process().address().getPort());
+                report.add(name + "unread_end", unread, "B");
+                report.add(name + "core", ticks * ProcessFigures.TICK_MS / seconds / 10, "percent_of_a_core");
+                if (unread > MOST_UNREAD_BYTES || begin.process().reportsDropped() != 0) {
+                    report.remark(name + "cpu_per_heard", "not given: lines were not read, or were dropped");
+                } else {
+                    perMessage(report, name, ticks * ProcessFigures.TICK_MS, traffic);
+                }
             }
         }
         List<AssignerAddress> addresses = fleet.hollowAssigners().addresses();
@@ -49,9 +56,8 @@
         }
     }
 
-    private static void processor(Report report, String name, double cpuMs, double seconds,
+    private static void perMessage(Report report, String name, double cpuMs,
             Map<Traffic.Kind, Traffic.Count> traffic) {
-        report.add(name + "core", cpuMs / seconds / 10, "percent_of_a_core");
         long heard = traffic.get(Traffic.Kind.HEARD).messages();
         long all = heard + traffic.get(Traffic.Kind.USAGE).messages()
                 + traffic.get(Traffic.Kind.APPLIED).messages();
