--- a/src/bench/java/pearusher/scale/SlopeChart.java
+++ b/src/bench/java/pearusher/scale/SlopeChart.java
@@ -40,8 +40,8 @@
         segment(out, x(0), y(leastY), x(0), y(mostY), "black");
         text(out, x(0), HEIGHT - MARGIN + 16.0, "middle", "0");
         text(out, x(mostX), HEIGHT - MARGIN + 16.0, "middle", Report.text(mostX));
-        text(out, x(0) - 4, y(mostY / HEADROOM) + 4, "end", threeDigits(mostY / HEADROOM));
-        text(out, x(0) - 4, y(leastY) + 4, "end", threeDigits(leastY));
+        text(out, x(0) - 4, y(mostY / HEADROOM) + 4, "end", Report.text(mostY / HEADROOM));
+        text(out, x(0) - 4, y(leastY) + 4, "end", Report.text(leastY));
         segment(out, x(0), y(Math.max(leastY, line.at(0))), x(mostX),
                 y(Math.max(leastY, line.at(mostX))), "gray");
         for (LeastSquares.Point point : points) {
@@ -52,10 +52,6 @@
         return out.append("</svg>\n").toString();
     }
 
-    private static String threeDigits(double value) {
-        return String.format(Locale.ROOT, "%.3g", value);
-    }
-
     private double x(double value) {
         return MARGIN + value / mostX * (WIDTH - 2 * MARGIN);
     }
