--- a/src/main/java/pearusher/serve/ListLimits.java
+++ b/src/main/java/pearusher/serve/ListLimits.java
@@ -12,15 +12,13 @@
     /** The most characters of a server's id. */
     static final int MOST_ID = 255;
     /**
-     * Bytes of heap that one listed server keeps, with an id of 255 characters and two zones: its record, its
-     * place in the directory, in the module and in the tables. Measured: see docs/design.md, "Limits".
+     * Bytes of heap that one listed server keeps, with an id of 255 characters, in two zones and with eight
+     * proxies bound: in the directory, the module and the tables. Measured; docs/design.md, "Limits", has the
+     * figures.
      */
-    static final int BYTES_PER_SERVER = 1280;
-    /**
-     * The list may take a third of the heap. The second third is for one that names other servers only, since
-     * the former ones are kept until the module forgets them; the last for all else.
-     */
-    static final int PARTS_OF_HEAP = 3;
+    static final int BYTES_PER_SERVER = 1820;
+    /** A list may take one of so many parts of the heap, and half of that more what it replaces. */
+    static final int PARTS_OF_HEAP = 2;
     /** A text is held twice while it is read, at two bytes a character: this leaves it a 64th of the heap. */
     private static final int HEAP_PER_TEXT_CHARACTER = 256;
 
@@ -37,9 +35,9 @@
         return of(Runtime.getRuntime().maxMemory());
     }
 
-    /** The servers that may be known at once, those of the former list included. */
+    /** The servers that may be known at once: those that left are kept until the module forgets them. */
     int known() {
-        return 2 * servers;
+        return servers + servers / 2;
     }
 
     /** The limit in words, for what was refused. */
--- a/src/main/java/pearusher/serve/Outbound.java
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -421,6 +421,9 @@
 
         @Override
         public boolean messageComplete() {
+            if (done()) {
+                return true;
+            }
             Ending ending = Ending.ofStatus(status);
             if (ending.answered()) {
                 try {
