--- a/src/bench/java/pearusher/scale/StandInDiscovery.java
+++ b/src/bench/java/pearusher/scale/StandInDiscovery.java
@@ -14,7 +14,7 @@
  * is encoded once and shared by all watchers; all of it runs on one loop, which owns the catalog.
  */
 final class StandInDiscovery implements AutoCloseable {
-    private static final long BEAT_NS = 2_000_000_000L;
+    static final long BEAT_NS = 2_000_000_000L;
     private static final byte[] BEAT = chunk(new byte[0]);
     private static final byte[] WATCH_HEAD = ascii("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n");
@@ -30,6 +30,7 @@
     private final Set<Connection> open = new LinkedHashSet<>();
     private byte[] wholeChunk;
     private long wholeGeneration = -1;
+    private volatile long lastBeatNs = System.nanoTime();
     private boolean cut;
 
     /** One connection, first a request, then perhaps a watch. */
@@ -116,6 +117,11 @@
         return out[0];
     }
 
+    /** When the last heartbeat was told. */
+    long lastBeatNs() {
+        return lastBeatNs;
+    }
+
     /** Tells a change that has been made in the catalog. On the loop's thread. */
     void changed(List<Integer> servers) {
         catalog.nextGeneration();
@@ -140,6 +146,7 @@
     }
 
     private void beat() {
+        lastBeatNs = System.nanoTime();
         tellAll(BEAT, Traffic.Kind.LIST_BEAT);
     }
 
