--- a/src/test/java/pearusher/Fleet.java
+++ b/src/test/java/pearusher/Fleet.java
@@ -54,8 +54,19 @@
     }
 
     static Assigner.Settings seeded(Assigner.Settings s, long seed) {
+        return changed(s, seed, s.channel());
+    }
+
+    /** The same on a channel of another pace, which holds a second and a half of its lines. */
+    static Assigner.Settings paced(Assigner.Settings s, double linesPerS) {
+        Assigner.Channel c = s.channel();
+        return changed(s, s.seed(), new Assigner.Channel(linesPerS, c.head(), 1.5 * linesPerS,
+                c.messagesMost(), c.messagesOverUs(), c.lateUs(), c.lateMostUs()));
+    }
+
+    private static Assigner.Settings changed(Assigner.Settings s, long seed, Assigner.Channel channel) {
         return new Assigner.Settings(seed, s.zones(), s.grades(), s.proxies(), s.me(), s.instances(),
-                s.zone(), s.channel(), s.limits(), s.prices(), s.levels(), s.usualRetry(), s.tryAims(),
+                s.zone(), channel, s.limits(), s.prices(), s.levels(), s.usualRetry(), s.tryAims(),
                 s.periodUs(),
                 s.intakePerS(), s.ejects(), s.slices(), s.listOnRequest(), s.probes(), s.peers(),
                 s.reportFrom(), s.reportFields(), s.weightsListed(), s.tickUs(), s.goal(), s.site());
@@ -84,11 +95,15 @@
     }
 
     double share(int table, long server) {
+        return tables.get(table).getOrDefault(server, 0.0) / sum(table);
+    }
+
+    double sum(int table) {
         double sum = 0;
-        for (double w : tables.get(table).values()) {
+        for (double w : tables.getOrDefault(table, Map.of()).values()) {
             sum += w;
         }
-        return tables.get(table).getOrDefault(server, 0.0) / sum;
+        return sum;
     }
 
     @Override
--- a/src/test/java/pearusher/Play.java
+++ b/src/test/java/pearusher/Play.java
@@ -29,8 +29,18 @@
     }
 
     void join(int proxy, boolean standing) {
+        join(proxy, proxy % set.zones(), standing);
+    }
+
+    void join(int proxy, int zone, boolean standing) {
         fleet.joined.add(proxy);
-        rules.joined(now, proxy, proxy % set.zones(), 10, standing);
+        rules.joined(now, proxy, zone, 10, standing);
+    }
+
+    void leave(int proxy) {
+        fleet.joined.remove(proxy);
+        fleet.bound.remove(proxy);
+        rules.left(now, proxy);
     }
 
     void list(Assigner.ListForm form, List<Assigner.Entry> entries) {
@@ -46,13 +56,25 @@
     /** One period: reports by the shares of each zone's table, then the end of the instant. */
     void period() {
         step(Fleet.S);
+        reports();
+        rules.close(now);
+        if (fleet.marks > 0) {
+            for (int proxy : fleet.joined) {
+                rules.applied(now, proxy, fleet.marks, 200_000);
+            }
+        }
+    }
+
+    /** A period's reports, by the shares of each zone's table. */
+    void reports() {
         for (int z = 0; z < set.zones(); z++) {
             Map<Long, Double> table = fleet.tables.getOrDefault(z, Map.of());
+            double sum = fleet.sum(z);
             for (long id : List.copyOf(table.keySet())) {
                 if (fleet.withdrawn.contains(id)) {
                     continue;
                 }
-                long tries = Math.round(triesPerZone * fleet.share(z, id));
+                long tries = Math.round(triesPerZone * (table.get(id) / sum));
                 long failed = Math.round(tries * fails.getOrDefault(id, 0.0));
                 if (tries > 0) {
                     rules.heard(now, id, z, tries, failed, Fleet.S,
@@ -65,12 +87,6 @@
                 rules.usage(now, proxy, k, 10, 0, Fleet.S);
             }
         }
-        rules.close(now);
-        if (fleet.marks > 0) {
-            for (int proxy : fleet.joined) {
-                rules.applied(now, proxy, fleet.marks, 200_000);
-            }
-        }
     }
 
     Play periods(int n) {
