--- a/src/test/java/pearusher/serve/ListingReaderTest.java
+++ b/src/test/java/pearusher/serve/ListingReaderTest.java
@@ -350,6 +350,17 @@
         assertEquals(2, reader.endOfLine().instances().size());
     }
 
+    @Test
+    void aTextOfMoreCharactersThanTheLimitIsAFaultThatNamesIt() throws Exception {
+        ListingReader reader = reader(9);
+        feed(reader, LIST.replace("43", "\"" + "0".repeat(998) + "43\""));
+        assertEquals(43, reader.endOfLine().generation());
+        feed(reader, LIST.replace("43", "\"" + "0".repeat(999) + "43\""));
+        String said = assertThrows(SettingsException.class, reader::endOfLine).getMessage();
+        assertTrue(said.startsWith("list: malformed JSON: String value length (1001) exceeds the maximum "
+                + "allowed (1000"), said);
+    }
+
     @Test
     void theLimitsFollowTheHeap() {
         ListLimits small = ListLimits.of(39L << 20);
