Wrap before a lambda and before a parameter, never inside them

Need: a formatter joins what follows a lambda's arrow and a type's bracket, and breaks at a worse place. The five classes' tests pass.

--- a/src/main/java/pearusher/intake/Intake.java
+++ b/src/main/java/pearusher/intake/Intake.java
@@ -244,8 +244,9 @@
         // Who kept nothing has no turn any more.
         turns.removeIf(origin -> places.get(origin).waiting.isEmpty());
         places.values().removeIf(place -> place.waiting.isEmpty());
-        long all = places.values().stream().flatMap(p ->
-                p.waiting.values().stream()).mapToLong(Sums::tries).sum();
+        long all = places.values().stream()
+                .flatMap(p -> p.waiting.values().stream())
+                .mapToLong(Sums::tries).sum();
         events.sampled(1.0 * waiting / before, Math.sqrt(variance) / Math.max(1, all));
     }
 
--- a/src/test/java/pearusher/conf/SettingsTest.java
+++ b/src/test/java/pearusher/conf/SettingsTest.java
@@ -122,8 +122,8 @@
                 "\"", "\\", "#", "include", "/d", "5ms", "8MiB", "interval", "x", "\0", "\u20ac", "{\n",
                 "}\n", "a b\n", "store {\n directory /d\n");
         return Arbitraries.oneOf(piece.list().ofMaxSize(40).map(l -> String.join("", l)),
-                Arbitraries.strings().ofMaxLength(200), Arbitraries.of("{", "\"", "a {\n").map(s ->
-                        s.repeat(9000)));
+                Arbitraries.strings().ofMaxLength(200),
+                Arbitraries.of("{", "\"", "a {\n").map(s -> s.repeat(9000)));
     }
 
     /** Whatever stands there: settings, or faults that each have a place; never another exception. */
--- a/src/test/java/pearusher/intake/IntakeTest.java
+++ b/src/test/java/pearusher/intake/IntakeTest.java
@@ -107,8 +107,9 @@
             intake.serve(tick * 100_000L, one -> heard.merge(one.origin(), one.sums().tries(), Long::sum));
             assertTrue(intake.waiting() <= 50 + 10 * 50);
         }
-        long quiet = heard.entrySet().stream().filter(e ->
-                e.getKey() < 99).mapToLong(Map.Entry::getValue).sum();
+        long quiet = heard.entrySet().stream()
+                .filter(e -> e.getKey() < 99)
+                .mapToLong(Map.Entry::getValue).sum();
         assertTrue(quiet >= sent - 2 * 10 * 7, quiet + " of " + sent);
         assertTrue(log.get(0).startsWith("flood 99 "), log.get(0));
     }
@@ -129,8 +130,8 @@
     }
 
     @Property(seed = "19", tries = 100)
-    void noOriginFallsUnderItsFairShare(@ForAll @Size(min = 2, max = 20) List<@IntRange(min = 1, max = 400)
-            Integer> rates) {
+    void noOriginFallsUnderItsFairShare(
+            @ForAll @Size(min = 2, max = 20) List<@IntRange(min = 1, max = 400) Integer> rates) {
         Intake one = new Intake(new Intake.Bounds(100, 1, 1000, 2_000_000, HOUR, false, 1),
                 new Intake.Events() {
         });
@@ -317,8 +318,8 @@
 
     /** Whatever the clock and the pace: what was reported later is never taken for older in time. */
     @Property(seed = "20", tries = 300)
-    void agesNeverRunBackwards(@ForAll @Size(max = 60) List<@IntRange(min = -3000,
-            max = 5000) Integer> steps) {
+    void agesNeverRunBackwards(
+            @ForAll @Size(max = 60) List<@IntRange(min = -3000, max = 5000) Integer> steps) {
         Ages ages = new Ages(10);
         long now = 1_000_000_000;
         long end = Long.MIN_VALUE;
--- a/src/test/java/pearusher/serve/DurableOrdersTest.java
+++ b/src/test/java/pearusher/serve/DurableOrdersTest.java
@@ -379,8 +379,8 @@
                     step(random);
                 }
                 durable.end();
-                Stand.until(one.getValue(), () ->
-                        log.toString(StandardCharsets.UTF_8).contains(one.getValue()));
+                Stand.until(one.getValue(),
+                        () -> log.toString(StandardCharsets.UTF_8).contains(one.getValue()));
             }
             assertTrue(log.toString(StandardCharsets.UTF_8).matches(
                     "(?s).*INFO store end cut: sequence=\\d+ bytes=\\d+ records=\\d+\n.*"));
--- a/src/test/java/pearusher/serve/IntakeServeTest.java
+++ b/src/test/java/pearusher/serve/IntakeServeTest.java
@@ -122,9 +122,8 @@
                 quiet.send("heard zone south server s-0badcafe tries " + tries + " failed 0 mean_ms 50.0 "
                         + "span_ms 1000.0");
                 // Whole and alone: the quiet one's report is merged with nobody else's.
-                Stand.until("report " + round, () -> module.told.stream().anyMatch(t ->
-                        t.startsWith("heard 1 1 "
-                        + tries + " 0 ")));
+                Stand.until("report " + round,
+                        () -> module.told.stream().anyMatch(t -> t.startsWith("heard 1 1 " + tries + " 0 ")));
                 assertTrue(waiting.waiting() <= 100 + 2 * 50, waiting.waiting() + " wait");
             }
             Stand.until("the end", () -> !waiting.flooded());
