--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 EDGE_CONFIG ?= docs/example.json
 export EDGE_NAME EDGE_LISTEN EDGE_DISCOVERY EDGE_CONFIG
 
-.PHONY: build test lint run
+.PHONY: build test lint format run
 
 build:
 	mvn -q -DskipTests package
@@ -16,7 +16,10 @@
 	mvn -B verify
 
 lint:
-	mvn -q -B checkstyle:check@style test-compile
+	mvn -q -B checkstyle:check@style formatter:validate@format test-compile
+
+format:
+	mvn -q -B formatter:format@format
 
 run: build
 	exec java -jar target/pearusher.jar serve
