--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -1,11 +1,14 @@
 package pearusher;
 
+import static java.util.stream.Collectors.toSet;
+import static pearusher.Statistics.median;
+import static pearusher.Statistics.total;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -133,6 +136,8 @@
      * k of zone z at z + k * zones. */
     private final TreeMap<Integer, ZoneTable> tables = new TreeMap<>();
     private final int zones;
+    /** Lines of a table that a bind can carry, each with a word. */
+    private final long mostListed;
     private int subsets;
     private boolean surge, promotes;
     /** Servers to withdraw, and those to let in again, oldest first. */
@@ -167,6 +172,7 @@
         level = new double[set.grades().size()];
         Arrays.fill(level, full);
         zones = Math.max(1, set.zones());
+        mostListed = (long) Math.max(1, (most(QUEUE_SOON) - set.channel().head() - 2 - level.length) / 2);
         if (set.slices() > 0) { to.log("slices are not served: this instance binds and orders nothing"); }
     }
 
@@ -235,10 +241,6 @@
 
     private boolean serving(Server s) { return s.state == State.READY; }
 
-    private static double total(Collection<Server> of, ToDoubleFunction<Server> what) {
-        return of.stream().mapToDouble(what).sum();
-    }
-
     // Proxies.
 
     @Override
@@ -399,7 +401,9 @@
             tables(now);
         }
         // A zone whose first proxy came after the start has its table at once.
-        zonesInScope().filter(z -> tables.get(z).planned.isEmpty()).forEach(this::weigh);
+        List<Integer> entering = zonesInScope().filter(z -> tables.get(z).planned.isEmpty()).toList();
+        entering.forEach(this::weigh);
+        if (!entering.isEmpty()) { deal(); }
         send(now);
     }
 
@@ -425,7 +429,7 @@
             if (serving(s) && !s.ill) { s.tallies.addFreshTo(period); }
             s.tallies.endPeriod(reported ? keep : 1);
             s.tallies.scalePast(Math.min(1, BAD_MOST / Math.max(1, s.bad())));
-            if (!s.scoped && s.good() + s.bad() < 1) { s.tallies.clear(); }
+            s.tallies.releaseFaded(!s.scoped, 1);
         }
         // A jam grows while reports travel: a fall goes on for a period, a rise counts one period late.
         double part = period.good / Math.max(1, period.good + period.bad);
@@ -464,8 +468,6 @@
         deal();
     }
 
-    // What is in scope: zones by the proxies that are here, servers by what a bind can carry.
-
     private ZoneTable table(int number) {
         return tables.computeIfAbsent(number, n -> new ZoneTable(level.length, full, set.usualRetry()));
     }
@@ -493,19 +495,22 @@
         rescope = false;
         up.clear();
         servers.values().stream().filter(this::serving).forEach(up::add);
-        long most = (long) Math.max(1, (most(QUEUE_SOON) - set.channel().head() - 2 - level.length) / 2);
-        if (up.size() > most) {
+        if (up.size() > mostListed) {
             up.sort(Comparator.comparingLong(s -> new SplittableRandom(set.seed() ^ s.id).nextLong()));
-            long each = (long) (SCOPE_OWN * most / Math.max(1, zonesInScope().count()));
+            long each = (long) (SCOPE_OWN * mostListed / Math.max(1, zonesInScope().count()));
             Stream<Server> own = zonesInScope().flatMap(z ->
                     up.stream().filter(s -> s.zone == z).limit(each));
-            List<Server> chosen = Stream.concat(own, up.stream()).distinct().limit(most).toList();
-            up.retainAll(new HashSet<>(chosen));
+            up.retainAll(Stream.concat(own, up.stream()).distinct().limit(mostListed).collect(toSet()));
         }
         servers.values().forEach(s -> s.scoped = false);
         up.forEach(s -> s.scoped = true);
     }
 
+    /** Whether a line of that server would make a table too long: ends of lines go first then. */
+    private boolean full(ZoneTable table, long id) {
+        return !table.sent.containsKey(id) && table.sent.size() >= mostListed;
+    }
+
     /** Starting over: proxies that hold an earlier stream's tables keep them until this instance has heard of
      * the fleet, and the levels they hold are read off what was tried of what came, if those passes hold a
      * whole turn. Guards against a flood after a crash in a jam. Could leave a proxy on an outdated table. */
@@ -538,12 +543,6 @@
         return lags.length == 0 ? 0 : lags[lags.length / 4];
     }
 
-    private static double median(List<Server> of, ToDoubleFunction<Server> what) {
-        double[] sorted = of.stream().mapToDouble(what).sorted().toArray();
-        int n = sorted.length;
-        return n == 0 ? 0 : (sorted[(n - 1) / 2] + sorted[n / 2]) / 2;
-    }
-
     /** Each server's average time and share of failures, and how ill it is beside the fleet's median. */
     private void judge(long now) {
         double sum = total(up, s -> s.sum(t -> t.sumUs)) + FIRST_GUESS * aimUs;
@@ -1020,9 +1019,11 @@
     }
 
     /** A server that was out is let in again together with its lines: a cold one would else get the weight
-     * that it had. Guards against restarts of many at once; while there is no room they wait, unused. */
+     * that it had. Guards against restarts of many at once. Where no table lists it joiners alone hear. */
     private boolean back(Server s) {
-        boolean fits = take(s.scoped ? proxies.keySet() : oldest(p -> !p.follows), 2, QUEUE_BACK);
+        boolean listed = rescope || s.scoped || tables.values().stream().anyMatch(t ->
+                t.sent.containsKey(s.id));
+        boolean fits = take(listed ? proxies.keySet() : oldest(p -> !p.follows), 2, QUEUE_BACK);
         if (fits) {
             tables.headMap(zones).forEach((z, table) -> line(z, s.id, scale(table)
                     * table.planned.getOrDefault(s.id, 0.0)));
@@ -1045,7 +1046,7 @@
 
     private void line(int z, long id, double weight) {
         ZoneTable table = tables.get(z);
-        if (weight == table.sent.getOrDefault(id, 0.0)) { return; }
+        if (weight == table.sent.getOrDefault(id, 0.0) || weight > 0 && full(table, id)) { return; }
         to.line(z, id, weight);
         table.waits.remove(id);
         table.sent.compute(id, (k, last) -> weight > 0 ? weight : null);
@@ -1108,7 +1109,8 @@
             // On sockets a server new to a table comes with the word that it is back.
             ZoneTable table = tables.get(m.zone());
             boolean word = !table.sent.containsKey(m.id()) && servers.get(m.id()).doubt > 0;
-            boolean fits = take(table.users, word ? 2 : 1, m.urgent() ? QUEUE_SOON : QUEUE_CALM);
+            boolean fits = !full(table, m.id())
+                    && take(table.users, word ? 2 : 1, m.urgent() ? QUEUE_SOON : QUEUE_CALM);
             if (fits) { line(m.zone(), m.id(), m.weight()); }
             all &= fits;
         }
--- a/src/main/java/pearusher/Tally.java
+++ b/src/main/java/pearusher/Tally.java
@@ -4,6 +4,8 @@
 final class Tally {
     double good, sumUs, bad;
 
+    double tries() { return good + bad; }
+
     void scale(double factor) {
         good *= factor;
         sumUs *= factor;
--- a/src/main/java/pearusher/ZoneTallies.java
+++ b/src/main/java/pearusher/ZoneTallies.java
@@ -64,6 +64,18 @@
         }
     }
 
+    /**
+     * Lets go of what has faded: of all zones together where {@code all}, else of those that are not told
+     * apart, once fewer tries than that are left.
+     */
+    void releaseFaded(boolean all, double leastTries) {
+        if (all && sumPast(Tally::tries) < leastTries) {
+            clear();
+        } else if (!isEmpty() && zones[0] == ELSEWHERE && past[0].tries() < leastTries) {
+            remove(0);
+        }
+    }
+
     /** Shrinks all of the past alike. */
     void scalePast(double factor) {
         for (Tally tally : past) {
--- a/src/main/java/pearusher/serve/Config.java
+++ b/src/main/java/pearusher/serve/Config.java
@@ -114,6 +114,17 @@
         };
     }
 
+    /** The same with so many known servers at the most: the first ones of its list. */
+    Config withFewerKnown(int most) {
+        if (known.instances().size() <= most) {
+            return this;
+        }
+        Message.Listing fewer = new Message.Listing(known.generation(), known.whole(),
+                known.instances().subList(0, most));
+        return new Config(name, listen, discovery, sockets, peerListen, peers, peersAll, fewer, settings,
+                names, timeouts, lists);
+    }
+
     /** A variable can't change while the process runs: later on the file alone says where discovery is. */
     private static Config read(Map<String, String> environment, ListLimits lists, boolean start,
             SeekableByteChannel file) throws SettingsException, IOException {
--- a/src/main/java/pearusher/serve/WarmUp.java
+++ b/src/main/java/pearusher/serve/WarmUp.java
@@ -16,6 +16,13 @@
     /** Ends after so many periods or nanoseconds, whichever comes first. */
     private static final int PERIODS = 60;
     private static final long MOST_NS = 400_000_000L;
+    /**
+     * What a period holds at the most, enough to compile what real ones meet. Guards against a fleet whose
+     * first invented period alone, all servers for all zones, would take longer than the start may.
+     */
+    private static final int MOST_SERVERS = 256;
+    private static final int MOST_PROXIES = 1024;
+    private static final int MOST_ZONES = 8;
 
     /** An exchange to which the outside world is nothing. */
     private static final class Silent extends Exchange {
@@ -58,7 +65,8 @@
 
     private WarmUp() { }
 
-    static void run(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker) {
+    static void run(Config whole, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker) {
+        Config config = whole.withFewerKnown(MOST_SERVERS);
         AtomicLong clock = new AtomicLong(1_000_000_000_000_000L);
         Exchange exchange = new Silent(config, maker, clock);
         long end = System.nanoTime() + MOST_NS;
@@ -81,8 +89,8 @@
 
     private static void period(Config config, Exchange exchange, Resp.Reader reader, int period)
             throws Resp.Fault, Message.Fault {
-        List<String> zones = List.copyOf(config.names().zones().keySet());
-        for (int p = 0; p < config.settings().proxies(); p++) {
+        List<String> zones = config.names().zones().keySet().stream().limit(MOST_ZONES).toList();
+        for (int p = 0; p < Math.min(MOST_PROXIES, config.settings().proxies()); p++) {
             String zone = zones.get(p % zones.size());
             if (period == 0) {
                 exchange.joined(new Nobody(), (Message.Joined) read(config, reader, "joined proxy " + p
--- a/src/test/java/pearusher/ScopeTest.java
+++ b/src/test/java/pearusher/ScopeTest.java
@@ -23,6 +23,8 @@
 class ScopeTest {
     /** Thirty graces, after which a zone without proxies is let go, and a pass. */
     private static final int LET_GO_S = 62;
+    /** Twelve half-lives of evidence, of six periods each: 3,000 tries are less than one by then. */
+    private static final int FADED_S = 72;
     /** Lines that a bind may list on the Fleet channel in a small tier, and in one of 140 proxies. */
     private static final int BOUND = 668;
     private static final int NARROW_BOUND = 218;
@@ -365,7 +367,7 @@
         region.forEach(p -> assertFalse(home.uses(p).stream().anyMatch(drained::contains)));
         List.of(home, away).forEach(site -> {
             site.state(drained, Assigner.State.READY);
-            site.seconds(120);
+            site.seconds(LET_GO_S + FADED_S);
         });
         assertTrue(away.cleared.containsAll(Set.of(2, 3, 4)));
         assertTrue(ObjectCount.of(away.play.rules) <= 1.05 * awayBefore, ObjectCount.of(away.play.rules)
