--- a/src/bench/java/pearusher/capacity/Apportionment.java
+++ b/src/bench/java/pearusher/capacity/Apportionment.java
@@ -5,7 +5,7 @@
 
 /** Splits whole numbers by weights so that the parts add up (largest remainder). */
 final class Apportionment {
-    private Apportionment() { }
+    private Apportionment() {}
 
     /** Everyone gets {@code least}; the rest goes by weight. */
     static int[] split(int total, double[] weights, int least) {
--- a/src/bench/java/pearusher/capacity/FleetModel.java
+++ b/src/bench/java/pearusher/capacity/FleetModel.java
@@ -24,7 +24,7 @@
         static final Skew ASSUMED = new Skew(0.9, 1.0, 0.7, 21.5, 1);
     }
 
-    record Zone(int region, double weight) { }
+    record Zone(int region, double weight) {}
 
     /** A service; the arrays are indexed by zone. */
     record Service(int rank, int tasks, int[] tasksByZone, double[] requestsByZone, int[] proxiesByZone) {
--- a/src/bench/java/pearusher/capacity/Target.java
+++ b/src/bench/java/pearusher/capacity/Target.java
@@ -19,5 +19,5 @@
 
     static final int SECONDS_PER_DAY = 86_400;
 
-    private Target() { }
+    private Target() {}
 }
--- a/src/bench/java/pearusher/intake/IntakeBench.java
+++ b/src/bench/java/pearusher/intake/IntakeBench.java
@@ -27,7 +27,7 @@
     private static long heard;
     private static boolean quickRun;
 
-    private IntakeBench() { }
+    private IntakeBench() {}
 
     public static void main(String[] args) {
         boolean quick = args.length > 0;
--- a/src/bench/java/pearusher/scale/ChangeFeed.java
+++ b/src/bench/java/pearusher/scale/ChangeFeed.java
@@ -21,7 +21,7 @@
         void inService(int[] servers);
     }
 
-    private record Draining(int server, long sinceNs) { }
+    private record Draining(int server, long sinceNs) {}
 
     private final StandInDiscovery discovery;
     private final ServerCatalog catalog;
--- a/src/bench/java/pearusher/scale/Connection.java
+++ b/src/bench/java/pearusher/scale/Connection.java
@@ -12,13 +12,13 @@
     /** What is told of a connection. */
     interface Handler {
         /** It is up. */
-        default void opened(Connection connection) { }
+        default void opened(Connection connection) {}
 
         /** Bytes came; what is not taken from the buffer is lost. */
         void received(Connection connection, ByteBuffer bytes);
 
         /** It ended, by the other side (why is null) or by a failure; not told where we closed it. */
-        default void ended(Connection connection, IOException why) { }
+        default void ended(Connection connection, IOException why) {}
     }
 
     private final SocketChannel channel;
--- a/src/bench/java/pearusher/scale/EventLoop.java
+++ b/src/bench/java/pearusher/scale/EventLoop.java
@@ -28,7 +28,7 @@
     private static final int ACCEPT_BACKLOG = 4096;
     private static final long JOIN_MS = 5_000;
 
-    private record Timer(long dueNs, long order, Runnable task) { }
+    private record Timer(long dueNs, long order, Runnable task) {}
 
     private final Selector selector;
     private final Thread thread;
--- a/src/bench/java/pearusher/scale/Failures.java
+++ b/src/bench/java/pearusher/scale/Failures.java
@@ -18,7 +18,7 @@
         void run() throws IOException, InterruptedException, LimitReached;
     }
 
-    private record Due(double atS, Step step) { }
+    private record Due(double atS, Step step) {}
 
     private final Fleet fleet;
     private final Report report;
--- a/src/bench/java/pearusher/scale/HollowAssigners.java
+++ b/src/bench/java/pearusher/scale/HollowAssigners.java
@@ -24,7 +24,7 @@
 
     /** How many there are, and what they write. */
     record Shape(int count, double updatesPerPeriod, double linesPerUpdate, long periodNs,
-            long seed) { }
+            long seed) {}
 
     private final EventLoop loop = new EventLoop("hollow-assigners");
     private final Shape shape;
--- a/src/bench/java/pearusher/scale/HollowCollectors.java
+++ b/src/bench/java/pearusher/scale/HollowCollectors.java
@@ -23,7 +23,7 @@
 
     /** What collectors say: lines a second to each assigner, and what share of a mean is noise. */
     record Shape(int zones, double linesPerS, double noise, boolean load, double requestsPerS,
-            long periodNs, long seed) { }
+            long periodNs, long seed) {}
 
     private final EventLoop loop = new EventLoop("collectors");
     private final Shape shape;
@@ -100,7 +100,7 @@
         }
 
         @Override
-        public void received(Connection from, ByteBuffer bytes) { }
+        public void received(Connection from, ByteBuffer bytes) {}
 
         @Override
         public void ended(Connection from, IOException why) {
--- a/src/bench/java/pearusher/scale/HollowProxies.java
+++ b/src/bench/java/pearusher/scale/HollowProxies.java
@@ -26,7 +26,7 @@
     private static final byte[] MORE = Words.bytes("more");
 
     /** What proxies are like. */
-    record Shape(int proxies, int zones, int classes, double requestsPerS, long applyNs, long periodNs) { }
+    record Shape(int proxies, int zones, int classes, double requestsPerS, long applyNs, long periodNs) {}
 
     private final EventLoop loop = new EventLoop("proxies");
     private final Shape shape;
@@ -129,7 +129,7 @@
             }
             int back = view.value(BACK);
             if (back >= 0) {
-                traffic().add(Traffic.Kind.ORDER_BACK, Words.names(view, back, server -> { }),
+                traffic().add(Traffic.Kind.ORDER_BACK, Words.names(view, back, server -> {}),
                         view.length(back));
             }
             int ticket = view.value(TICKET);
@@ -308,7 +308,7 @@
 
     /** What proxies have measured up to now. */
     record Figures(int bound, int streamsEnded, int drainsUnfinished, Histogram bindUs, Histogram bindBytes,
-            Histogram drainPerProxyUs, Histogram drainEverywhereUs, String fault) { }
+            Histogram drainPerProxyUs, Histogram drainEverywhereUs, String fault) {}
 
     Figures figures() throws InterruptedException {
         Figures[] out = new Figures[1];
--- a/src/bench/java/pearusher/scale/HollowWatchers.java
+++ b/src/bench/java/pearusher/scale/HollowWatchers.java
@@ -153,7 +153,7 @@
 
     /** What watchers have measured up to now. */
     record Figures(int listed, int ended, long receivedBytes, Histogram listUs, Histogram changeUs,
-            String fault) { }
+            String fault) {}
 
     Figures figures() throws InterruptedException {
         Figures[] out = new Figures[1];
--- a/src/bench/java/pearusher/scale/JsonTree.java
+++ b/src/bench/java/pearusher/scale/JsonTree.java
@@ -16,7 +16,7 @@
 /** A JSON document as maps, lists and values, to change an example in a few places. */
 final class JsonTree {
     /** Text that is JSON already and goes into the document as it is. */
-    record Raw(String json) { }
+    record Raw(String json) {}
 
     private final Map<String, Object> root;
 
--- a/src/bench/java/pearusher/scale/LeastSquares.java
+++ b/src/bench/java/pearusher/scale/LeastSquares.java
@@ -11,7 +11,7 @@
     static final double STRAIGHT = 0.05;
 
     /** One run at one size. */
-    record Point(double x, double y) { }
+    record Point(double x, double y) {}
 
     static LeastSquares fit(List<Point> points) {
         if (points.stream().mapToDouble(Point::x).distinct().count() < 2) {
--- a/src/bench/java/pearusher/scale/Mix.java
+++ b/src/bench/java/pearusher/scale/Mix.java
@@ -16,7 +16,7 @@
     private static final double SLOPE_BUDGET_S = 300;
 
     /** A run of the mix, as a description's words. */
-    private record Part(String name, String words) { }
+    private record Part(String name, String words) {}
 
     private static final List<Part> QUICK = List.of(
             new Part("30x4", "servers 30 seconds 4 settle 2"),
--- a/src/bench/java/pearusher/scale/ProcessFigures.java
+++ b/src/bench/java/pearusher/scale/ProcessFigures.java
@@ -19,7 +19,7 @@
     private static final int QUEUES = 4;
     private static final long JCMD_S = 60;
 
-    private ProcessFigures() { }
+    private ProcessFigures() {}
 
     /** User and system time so far, in ticks. */
     static long ticks(long pid) throws IOException {
--- a/src/bench/java/pearusher/scale/Report.java
+++ b/src/bench/java/pearusher/scale/Report.java
@@ -13,10 +13,10 @@
 /** Figures as {@code name value unit} lines and as JSON. A figure is there only if it was measured. */
 final class Report {
     /** One figure. */
-    record Figure(String name, double value, String unit) { }
+    record Figure(String name, double value, String unit) {}
 
     /** A remark in words: why something died, which limit was met. */
-    record Remark(String name, String text) { }
+    record Remark(String name, String text) {}
 
     private final List<Figure> figures = new ArrayList<>();
     private final List<Remark> remarks = new ArrayList<>();
--- a/src/bench/java/pearusher/scale/RespWriter.java
+++ b/src/bench/java/pearusher/scale/RespWriter.java
@@ -4,7 +4,7 @@
 
 /** Writes RESP2 arrays of bulk strings, in ASCII, for the hollow side. */
 final class RespWriter {
-    private RespWriter() { }
+    private RespWriter() {}
 
     static byte[] message(String... words) {
         StringBuilder out = new StringBuilder(160).append('*').append(words.length).append("\r\n");
--- a/src/bench/java/pearusher/scale/ScaleCommand.java
+++ b/src/bench/java/pearusher/scale/ScaleCommand.java
@@ -67,7 +67,7 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    private ScaleCommand() { }
+    private ScaleCommand() {}
 
     public static void main(String[] args) {
         System.exit(line().execute(args));
--- a/src/bench/java/pearusher/scale/ScaleRun.java
+++ b/src/bench/java/pearusher/scale/ScaleRun.java
@@ -65,9 +65,9 @@
     }
 
     private static long descriptors() {
-        return ManagementFactory.getOperatingSystemMXBean()
-                instanceof com.sun.management.UnixOperatingSystemMXBean system
-                ? system.getMaxFileDescriptorCount() : Long.MAX_VALUE;
+        return ManagementFactory
+                .getOperatingSystemMXBean() instanceof com.sun.management.UnixOperatingSystemMXBean system
+                        ? system.getMaxFileDescriptorCount() : Long.MAX_VALUE;
     }
 
     private void measure(Fleet fleet) throws IOException, InterruptedException, LimitReached {
--- a/src/bench/java/pearusher/scale/StandInDiscovery.java
+++ b/src/bench/java/pearusher/scale/StandInDiscovery.java
@@ -21,7 +21,7 @@
     private static final String SINCE = "since=";
 
     /** A change as it was told: the generation that it made and the servers that it names. */
-    private record Change(long generation, List<Integer> servers) { }
+    private record Change(long generation, List<Integer> servers) {}
 
     private final EventLoop loop = new EventLoop("discovery");
     private final ServerCatalog catalog;
--- a/src/bench/java/pearusher/scale/Sweep.java
+++ b/src/bench/java/pearusher/scale/Sweep.java
@@ -20,7 +20,7 @@
 
     /** What is swept. */
     record Plan(RunKey key, List<Double> sizes, int runs, List<String> figures, double budgetS,
-            Path charts) { }
+            Path charts) {}
 
     /** Makes one run; a test puts another in its place. */
     interface Runner {
--- a/src/bench/java/pearusher/scale/Window.java
+++ b/src/bench/java/pearusher/scale/Window.java
@@ -8,7 +8,7 @@
 /** The time that is measured: what each real assigner used, got and wrote between its begin and its end. */
 final class Window {
     private record Begin(Fleet.Member member, AssignerProcess process, long ticks,
-            Map<Traffic.Kind, Traffic.Count> traffic) { }
+            Map<Traffic.Kind, Traffic.Count> traffic) {}
 
     /** With more than this left unread, lines are not what was worked on. */
     private static final long MOST_UNREAD_BYTES = 64 << 10;
--- a/src/bench/java/pearusher/scale/Words.java
+++ b/src/bench/java/pearusher/scale/Words.java
@@ -13,7 +13,7 @@
         void take(int server, boolean zero);
     }
 
-    private Words() { }
+    private Words() {}
 
     static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.US_ASCII);
--- a/src/bench/java/pearusher/serve/KillBench.java
+++ b/src/bench/java/pearusher/serve/KillBench.java
@@ -43,7 +43,7 @@
     private Exchange exchange;
     private Durable durable;
 
-    private record Arrival(long atUs, long sentUs, Holder to, List<List<String>> parts) { }
+    private record Arrival(long atUs, long sentUs, Holder to, List<List<String>> parts) {}
 
     private final class Holder implements Exchange.Stream {
         private final int proxy;
@@ -84,7 +84,7 @@
         }
 
         @Override
-        public void replaced() { }
+        public void replaced() {}
     }
 
     private KillBench(Path dir) throws Exception {
@@ -128,20 +128,20 @@
             durable = new Durable(config, new Keeping(dir, options, 60_000_000, 5_000_000, 600_000_000),
                     Store.open(disk, options), clock::get);
         }
-        exchange = new Exchange(config, Rules::new, clock::get, failure -> { }, durable, null) {
+        exchange = new Exchange(config, Rules::new, clock::get, failure -> {}, durable, null) {
             @Override
-            void pause() { }
+            void pause() {}
         };
         exchange.connect(new Exchange.Calls() {
             @Override
-            public void watch(boolean on, long since) { }
+            public void watch(boolean on, long since) {}
 
             @Override
-            public void fetch() { }
+            public void fetch() {}
 
             @Override
-            public void probe(long server, String hostPort) { }
-        }, (peer, body) -> { });
+            public void probe(long server, String hostPort) {}
+        }, (peer, body) -> {});
         if (durable != null) {
             durable.start();
         }
@@ -156,7 +156,7 @@
     }
 
     private void turn() throws InterruptedException {
-        exchange.event(() -> { });
+        exchange.event(() -> {});
         turnEndNs = 0;
         long start = System.nanoTime();
         exchange.turn();
--- a/src/bench/java/pearusher/serve/StartBench.java
+++ b/src/bench/java/pearusher/serve/StartBench.java
@@ -13,7 +13,7 @@
 public final class StartBench {
     private static final int ROUNDS = 31;
 
-    private StartBench() { }
+    private StartBench() {}
 
     public static void main(String[] args) throws Exception {
         List<Path> jars = List.of(Path.of(args[0]), Path.of("target/pearusher.jar"));
@@ -42,7 +42,7 @@
         Map<String, String> environment = new Example().listen("127.0.0.1:" + port).write(dir);
         ProcessBuilder how = new ProcessBuilder("java", "-Xms40m", "-Xmx40m", "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xshare:auto", "-jar", jar.toString(),
-                        "serve")
+                "serve")
                 .redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile());
         how.environment().putAll(environment);
         long begin = System.nanoTime();
--- a/src/main/java/pearusher/Assigner.java
+++ b/src/main/java/pearusher/Assigner.java
@@ -17,13 +17,17 @@
     enum Effect { SAFE, KEYED, UNSAFE }
 
     /** What a level means: a share let in, requests a second at each proxy, or nothing. */
-    enum Levels { SHARE, RATE, NONE }
+    enum Levels {
+        SHARE, RATE, NONE
+    }
 
     /** Where load reports come from. */
     enum ReportFrom { ANSWERS, PROBES, NOWHERE }
 
     /** The values that a load report may hold. */
-    enum Field { INFLIGHT, QUEUE, UTIL, LATENCY_MS, PER_S, ERRORS_PER_S, OTHER }
+    enum Field {
+        INFLIGHT, QUEUE, UTIL, LATENCY_MS, PER_S, ERRORS_PER_S, OTHER
+    }
 
     /** What a list of servers is. */
     enum ListForm { CHANGES, WHOLE, CACHED, FAILED }
@@ -36,41 +40,43 @@
 
     /** A request class; {@code groupAll}: all servers discard repeats of a keyed request. */
     record Grade(long aimUs, long deadlineUs, double worth, double lateWorth, Effect effect,
-            boolean groupAll, long windowUs, boolean writes, boolean ownZone, double aimStretch) { }
+            boolean groupAll, long windowUs, boolean writes, boolean ownZone, double aimStretch) {}
 
     /** The way to the proxies: pace, fixed lines of a message, most lines waiting, and its delays. */
     record Channel(double linesPerS, double head, double backlog, int messagesMost, long messagesOverUs,
-            long lateUs, long lateMostUs) { }
+            long lateUs, long lateMostUs) {}
 
     /** The figures of the rules. */
     record Limits(long bareUs, long graceUs, double coldFrom, long rampUs, double fallMultiple, long fallUs,
-            long askWithinUs, boolean onlyDrainingBinds) { }
+            long askWithinUs, boolean onlyDrainingBinds) {}
 
     /** Points taken off for each unit. */
     record Prices(double crossZone, double probe, double orders, double lateFail, double waste,
-            double connection, double handshake, double peer, double list, double handover, double moves) { }
+            double connection, double handshake, double peer, double list, double handover, double moves) {}
 
     /** What a result is made of. */
     record Goal(double whole, double worstWindow, double worstClass, double worstTenant, double nines,
-            double ninesFull, boolean byWork) { }
+            double ninesFull, boolean byWork) {}
 
     /** How a proxy picks a line: at random by weight, in turn by weight, or the less busy of two. */
-    enum Pick { RANDOM, ROTATE, TWO }
+    enum Pick {
+        RANDOM, ROTATE, TWO
+    }
 
     /** How proxies and servers of the site are built; times for slices and exclusive owners among them. */
     record Site(Pick pick, int standing, double connsLeast, int streamsPerConn, long idleCloseUs,
             long connectTimeoutUs, double cpuUsPerS, boolean ownZoneJoins, boolean warmKeys,
-            boolean exclusive, long parkUs, long tenureUs, long settleUs) { }
+            boolean exclusive, long parkUs, long tenureUs, long settleUs) {}
 
     /** All that an instance is told at its start. */
     record Settings(long seed, int zones, List<Grade> grades, int proxies, int me, int instances, int zone,
             Channel channel, Limits limits, Prices prices, Levels levels, int usualRetry, double tryAims,
             long periodUs, double intakePerS, int ejects, int slices, boolean listOnRequest, boolean probes,
             boolean peers, ReportFrom reportFrom, List<Field> reportFields, boolean weightsListed,
-            long tickUs, Goal goal, Site site) { }
+            long tickUs, Goal goal, Site site) {}
 
     /** A line of the list; {@code startedUs} 0: long ago. */
-    record Entry(long server, int zone, int kind, int cell, State state, double weight, long startedUs) { }
+    record Entry(long server, int zone, int kind, int cell, State state, double weight, long startedUs) {}
 
     /** Where orders go. What is ordered between two calls of {@link #close} becomes one message a proxy. */
     interface Orders {
@@ -99,13 +105,13 @@
         void log(String text);
 
         /** This proxy shuts out what the list tells, no more: servers that never changed need no word. */
-        default void sure(int proxy) { }
+        default void sure(int proxy) {}
 
         /** Others may have withdrawn it: its lines bring the word that it is back, to all or the unsure. */
-        default void doubt(long server, boolean all) { }
+        default void doubt(long server, boolean all) {}
 
         /** No order names this server's number again, nor did one that still holds. */
-        default void forget(long server) { }
+        default void forget(long server) {}
     }
 
     void listed(long now, ListForm form, List<Entry> entries);
@@ -116,10 +122,10 @@
      * The end of a probe; who asks for none leaves it (each has a price, and they changed no measured
      * day).
      */
-    default void probed(long now, long server, Probe end, long tookUs, float[] load) { }
+    default void probed(long now, long server, Probe end, long tookUs, float[] load) {}
 
     /** A word from another assigner; who needs no agreement leaves it. */
-    default void told(long now, int peer, byte[] body) { }
+    default void told(long now, int peer, byte[] body) {}
 
     void joined(long now, int proxy, int zone, double perS, boolean onlyStanding);
 
@@ -130,10 +136,10 @@
      * by server, level and way of trying again by class (-1: neither was ordered), and the last mark given.
      */
     default void restored(long now, int table, Map<Long, Double> weights, double[] levels, int[] retries,
-            int lastMark) { }
+            int lastMark) {}
 
     /** A proxy that joins holds this table of ours, so many lines aside; told in the turn of its joining. */
-    default void holds(long now, int proxy, int table, int lacks) { }
+    default void holds(long now, int proxy, int table, int lacks) {}
 
     void applied(long now, int proxy, int mark, long tookUs);
 
@@ -151,11 +157,11 @@
     void usage(long now, int proxy, int grade, long requests, long failed, long spanUs);
 
     /** Slices, where the settings count any: given or taken, a line of one's table, what came for it. */
-    default void sliceGiven(long now, int slice, boolean given) { }
+    default void sliceGiven(long now, int slice, boolean given) {}
 
-    default void sliceLine(long now, int slice, long server, double weight) { }
+    default void sliceLine(long now, int slice, long server, double weight) {}
 
-    default void sliceUsage(long now, int slice, int grade, long requests, long failed, long spanUs) { }
+    default void sliceUsage(long now, int slice, int grade, long requests, long failed, long spanUs) {}
 
     /** The end of what happened at this instant. */
     void close(long now);
--- a/src/main/java/pearusher/Server.java
+++ b/src/main/java/pearusher/Server.java
@@ -35,7 +35,9 @@
     }
 
     /** All zones' evidence as one: how many good answers, failures, or microseconds. */
-    double sum(ToDoubleFunction<Tally> of) { return tallies.sumPast(of); }
+    double sum(ToDoubleFunction<Tally> of) {
+        return tallies.sumPast(of);
+    }
 
     double good() { return sum(t -> t.good); }
 
--- a/src/main/java/pearusher/Statistics.java
+++ b/src/main/java/pearusher/Statistics.java
@@ -6,7 +6,7 @@
 
 /** Sums and medians over servers. */
 final class Statistics {
-    private Statistics() { }
+    private Statistics() {}
 
     static double total(Collection<Server> servers, ToDoubleFunction<Server> what) {
         return servers.stream().mapToDouble(what).sum();
--- a/src/main/java/pearusher/ZoneTallies.java
+++ b/src/main/java/pearusher/ZoneTallies.java
@@ -126,10 +126,14 @@
     }
 
     /** All zones' past as one: how many good answers, failures, or microseconds. */
-    double sumPast(ToDoubleFunction<Tally> of) { return sum(past, of); }
+    double sumPast(ToDoubleFunction<Tally> of) {
+        return sum(past, of);
+    }
 
     /** The same of the period at hand. */
-    double sumFresh(ToDoubleFunction<Tally> of) { return sum(fresh, of); }
+    double sumFresh(ToDoubleFunction<Tally> of) {
+        return sum(fresh, of);
+    }
 
     private static double sum(Tally[] tallies, ToDoubleFunction<Tally> of) {
         return Arrays.stream(tallies).mapToDouble(of).sum();
--- a/src/main/java/pearusher/cli/Json.java
+++ b/src/main/java/pearusher/cli/Json.java
@@ -11,7 +11,7 @@
         void write(JsonGenerator to) throws IOException;
     }
 
-    private Json() { }
+    private Json() {}
 
     static void write(PrintWriter out, Body body) throws IOException {
         JsonGenerator to = new JsonFactory().createGenerator(out);
--- a/src/main/java/pearusher/cli/Main.java
+++ b/src/main/java/pearusher/cli/Main.java
@@ -8,7 +8,7 @@
  * a start more time than the assigner needs to listen.
  */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) {
         if (args.length == 1 && "serve".equals(args[0])) {
--- a/src/main/java/pearusher/conf/ConfFile.java
+++ b/src/main/java/pearusher/conf/ConfFile.java
@@ -50,7 +50,7 @@
     private final Deque<Path> open = new ArrayDeque<>();
     private int files;
 
-    private ConfFile() { }
+    private ConfFile() {}
 
     static List<Line> read(Path path) throws FaultyException {
         ConfFile out = new ConfFile();
@@ -133,7 +133,7 @@
                 faults.add(new Fault(name, line, column + 1, "", "found " + shown((Token) symbol)
                         + ", expected "
                         + expected(e != null ? e.getExpectedTokens()
-                        : ((Parser) by).getExpectedTokens())));
+                                : ((Parser) by).getExpectedTokens())));
             }
         });
         ConfParser.FileContext file = parser.file();
--- a/src/main/java/pearusher/conf/Settings.java
+++ b/src/main/java/pearusher/conf/Settings.java
@@ -13,12 +13,12 @@
 public final class Settings {
 
     /** A value and where it comes from: a place in a file, or {@code default}. */
-    public record Value(Key key, String text, String from) { }
+    public record Value(Key key, String text, String from) {}
 
     private final Map<Key, Value> given = new EnumMap<>(Key.class);
     private final List<Fault> faults = new ArrayList<>();
 
-    private Settings() { }
+    private Settings() {}
 
     /** With no file at all: everything off. */
     public static Settings none() {
@@ -102,7 +102,7 @@
                 && number(Key.STORE_INTERVAL) * 2 > number(Key.STORE_PATIENCE)) {
             fault(lines, given.containsKey(Key.STORE_PATIENCE) ? Key.STORE_PATIENCE : Key.STORE_INTERVAL,
                     "patience (" + text(Key.STORE_PATIENCE) + ") must be at least twice interval ("
-                    + text(Key.STORE_INTERVAL) + "): orders would always be given up");
+                            + text(Key.STORE_INTERVAL) + "): orders would always be given up");
         }
     }
 
--- a/src/main/java/pearusher/conf/Units.java
+++ b/src/main/java/pearusher/conf/Units.java
@@ -24,7 +24,7 @@
         SIZES.put("TiB", 1024.0 * 1024 * 1024 * 1024);
     }
 
-    private Units() { }
+    private Units() {}
 
     /** A number and, directly after it, one of the units; NaN for anything else. */
     static double read(String text, Map<String, Double> units) {
--- a/src/main/java/pearusher/intake/Intake.java
+++ b/src/main/java/pearusher/intake/Intake.java
@@ -34,12 +34,12 @@
      * @param calmUs how long all places must have been empty until it is over
      */
     public record Bounds(double perS, int calm, int place, long calmUs, long oldestUs, boolean sampled,
-            long seed) { }
+            long seed) {}
 
     /** What happens, for the log; who has no use for it leaves it. */
     public interface Events {
         /** More waits than the module may hear at once; the origin that most of it is from, and its part. */
-        default void flood(int origin, double part) { }
+        default void flood(int origin, double part) {}
 
         /**
          * Reports were thinned.
@@ -47,13 +47,13 @@
          * @param kept the part of them that was kept
          * @param error the standard error of the tries that they stand for, as a part of those
          */
-        default void sampled(double kept, double error) { }
+        default void sampled(double kept, double error) {}
 
         /** It is over: reports that were merged into others, and those refused for want of a place. */
-        default void over(long merged, long refused) { }
+        default void over(long merged, long refused) {}
 
         /** A report was too old to be heard. */
-        default void expired(Item item) { }
+        default void expired(Item item) {}
     }
 
     private static final long SECOND_US = 1_000_000;
@@ -202,7 +202,7 @@
     }
 
     /** A report that may be thinned out; {@code mass}: its part of what its origin had. */
-    private record Candidate(Place place, Item.About about, Sums sums, double mass) { }
+    private record Candidate(Place place, Item.About about, Sums sums, double mass) {}
 
     /**
      * Brings what waits down to what a second can hear; who has no more than an even share keeps it all. The
--- a/src/main/java/pearusher/intake/Item.java
+++ b/src/main/java/pearusher/intake/Item.java
@@ -19,7 +19,7 @@
     }
 
     /** What a report's sums are of. */
-    public sealed interface About { }
+    public sealed interface About {}
 
     /** Tries of a zone's proxies at a server, by its name. */
     public record Tries(String server, int zone) implements About {
--- a/src/main/java/pearusher/intake/PrioritySample.java
+++ b/src/main/java/pearusher/intake/PrioritySample.java
@@ -23,9 +23,9 @@
      * @param estimate the weight that it stands for
      * @param variance estimated, of that estimate
      */
-    public record Kept<T>(T item, double weight, double estimate, double variance) { }
+    public record Kept<T>(T item, double weight, double estimate, double variance) {}
 
-    private record Drawn<T>(T item, int place, double weight, double priority) { }
+    private record Drawn<T>(T item, int place, double weight, double priority) {}
 
     private final List<Kept<T>> kept = new ArrayList<>();
 
--- a/src/main/java/pearusher/intake/Sums.java
+++ b/src/main/java/pearusher/intake/Sums.java
@@ -23,7 +23,7 @@
     public Sums plus(Sums later) {
         return new Sums(tries + later.tries, failed + later.failed, goodUs + later.goodUs,
                 spanUs + later.spanUs, lines + later.lines, later.load.length > 0 ? later.load : load,
-                        variance + later.variance);
+                variance + later.variance);
     }
 
     /**
--- a/src/main/java/pearusher/recovery/LedgerState.java
+++ b/src/main/java/pearusher/recovery/LedgerState.java
@@ -45,7 +45,7 @@
             case SERVER -> servers.put(key.name(),
                     Values.read(value, from -> Values.server(key.name(), from)));
             case LIST -> generation = Values.read(value, DataInputStream::readLong);
-            case OTHER -> { }
+            case OTHER -> {}
         }
     }
 
--- a/src/main/java/pearusher/recovery/MissingOrders.java
+++ b/src/main/java/pearusher/recovery/MissingOrders.java
@@ -6,7 +6,7 @@
 
 /** Tells what a proxy lacks of its table since the turn for which it has last answered. It keeps nothing. */
 final class MissingOrders {
-    private MissingOrders() { }
+    private MissingOrders() {}
 
     /** Null where that can't be told, and the proxy must get its table whole. */
     static Rejoin of(LedgerState state, Values.Proxy known) {
--- a/src/main/java/pearusher/recovery/Outbox.java
+++ b/src/main/java/pearusher/recovery/Outbox.java
@@ -12,7 +12,7 @@
  * @param <M> an order on its way; callers guard it by a lock of theirs
  */
 public final class Outbox<M> {
-    private record Held<M>(long ticket, long sinceUs, List<M> messages) { }
+    private record Held<M>(long ticket, long sinceUs, List<M> messages) {}
 
     private final ArrayDeque<Held<M>> held = new ArrayDeque<>();
     private final Consumer<M> out;
--- a/src/main/java/pearusher/recovery/OutstandingMarks.java
+++ b/src/main/java/pearusher/recovery/OutstandingMarks.java
@@ -14,7 +14,7 @@
     /** What {@link #answer} says where a mark was not sent. */
     static final long NOT_SENT = -1;
 
-    private record Mark(int number, long turn) { }
+    private record Mark(int number, long turn) {}
 
     private final Map<Integer, ArrayDeque<Mark>> owed = new HashMap<>();
 
--- a/src/main/java/pearusher/recovery/Values.java
+++ b/src/main/java/pearusher/recovery/Values.java
@@ -23,7 +23,9 @@
     static final String FLOOR = "/f";
 
     /** What a key names. */
-    enum Kind { LINE, LEVEL, FLOOR, OTHER_OF_TABLE, EJECTION, PROXY, SERVER, LIST, OTHER }
+    enum Kind {
+        LINE, LEVEL, FLOOR, OTHER_OF_TABLE, EJECTION, PROXY, SERVER, LIST, OTHER
+    }
 
     /**
      * A key, read.
@@ -79,17 +81,17 @@
     }
 
     /** The ledger as a whole. {@code settings}: names of the assigner, zones and classes. */
-    record Meta(long epoch, long turn, long timeUs, int mark, String settings) { }
+    record Meta(long epoch, long turn, long timeUs, int mark, String settings) {}
 
-    record Line(double weight, long turn) { }
+    record Line(double weight, long turn) {}
 
-    record LevelAt(Level level, long turn) { }
+    record LevelAt(Level level, long turn) {}
 
     /** A server that is out or back. */
-    record Ejection(boolean out, long turn, long timeUs) { }
+    record Ejection(boolean out, long turn, long timeUs) {}
 
     /** A proxy: its table, the turn that brought it whole, and the last one it has answered for. */
-    record Proxy(int table, long whole, long applied) { }
+    record Proxy(int table, long whole, long applied) {}
 
     private interface Body {
         void write(DataOutputStream to) throws IOException;
@@ -100,7 +102,7 @@
         T read(DataInputStream from) throws IOException;
     }
 
-    private Values() { }
+    private Values() {}
 
     private static byte[] bytes(Body body) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(32);
--- a/src/main/java/pearusher/serve/AcceptPolicy.java
+++ b/src/main/java/pearusher/serve/AcceptPolicy.java
@@ -19,7 +19,7 @@
     private static final int MOST_ACCEPTS = 16;
 
     /** What becomes of a newcomer. {@code evicted}: who goes for it; null: nobody needs to. */
-    record Admission(boolean taken, StreamConnection evicted) { }
+    record Admission(boolean taken, StreamConnection evicted) {}
 
     private final ConnectionRegistry registry;
     /** Descriptors that the process may hold. */
--- a/src/main/java/pearusher/serve/Config.java
+++ b/src/main/java/pearusher/serve/Config.java
@@ -34,7 +34,7 @@
     private static final String OCTET = "(\\d{1,2}|1\\d\\d|2[0-4]\\d|25[0-5])";
 
     /** Time-outs of input and output, in milliseconds: all may be set under the key timeouts. */
-    record Timeouts(int connectMs, int answerMs, int silentMs, int strangerMs) { }
+    record Timeouts(int connectMs, int answerMs, int silentMs, int strangerMs) {}
 
     /** The names that the sockets use for zones, classes, machine types and values of load reports. */
     record Names(Map<String, Integer> zones, List<String> classes, Map<String, Integer> classAt,
@@ -110,7 +110,7 @@
         channel.position(0);
         return new FilterInputStream(Channels.newInputStream(channel)) {
             @Override
-            public void close() { }
+            public void close() {}
         };
     }
 
--- a/src/main/java/pearusher/serve/Durable.java
+++ b/src/main/java/pearusher/serve/Durable.java
@@ -32,7 +32,7 @@
 final class Durable implements AutoCloseable {
 
     /** A message on its way to a stream. */
-    private record Post(Exchange.Stream to, byte[] message) { }
+    private record Post(Exchange.Stream to, byte[] message) {}
 
     private final LongSupplier clock;
     private final Committer committer;
--- a/src/main/java/pearusher/serve/Message.java
+++ b/src/main/java/pearusher/serve/Message.java
@@ -18,18 +18,18 @@
  * or act: names of servers stay names here, zones and classes become positions in the settings.
  */
 sealed interface Message {
-    record Ping() implements Message { }
+    record Ping() implements Message {}
 
-    record Collector(int zone) implements Message { }
+    record Collector(int zone) implements Message {}
 
-    record Joined(int proxy, int zone, double perS, boolean fresh) implements Message { }
+    record Joined(int proxy, int zone, double perS, boolean fresh) implements Message {}
 
-    record Applied(int proxy, int mark, long tookUs) implements Message { }
+    record Applied(int proxy, int mark, long tookUs) implements Message {}
 
     record Heard(int zone, String server, long tries, long failed, long meanUs, long spanUs, float[] load)
-            implements Message { }
+            implements Message {}
 
-    record Usage(int proxy, int grade, long tries, long failed, long spanUs) implements Message { }
+    record Usage(int proxy, int grade, long tries, long failed, long spanUs) implements Message {}
 
     /** A message that can't be used; the text names the value. */
     final class Fault extends Exception {
@@ -280,11 +280,11 @@
     }
 
     /** A way of trying again and a level, which come as a pair. */
-    record Level(double level, int retry) { }
+    record Level(double level, int retry) {}
 
     /** A part of an update; null or empty where a field is left out. Classes null: all of them. */
     record Part(List<String> classes, boolean whole, Map<String, Double> lines, Level level, List<String> out,
-            List<String> back, int ticket) { }
+            List<String> back, int ticket) {}
 
     /** The bytes of one message to a proxy. */
     static byte[] write(List<Part> parts) {
--- a/src/main/java/pearusher/serve/Outbound.java
+++ b/src/main/java/pearusher/serve/Outbound.java
@@ -182,7 +182,7 @@
             public void onOpen() {
                 super.onOpen();
                 try {
-                    getEndPoint().write(Callback.from(() -> { }, e -> finish(Ending.ofFailure(e))),
+                    getEndPoint().write(Callback.from(() -> {}, e -> finish(Ending.ofFailure(e))),
                             request());
                     fillInterested();
                 } catch (IOException e) {
@@ -308,7 +308,7 @@
         }
 
         @Override
-        public void parsedHeader(HttpField field) { }
+        public void parsedHeader(HttpField field) {}
 
         @Override
         public boolean headerComplete() {
--- a/src/main/java/pearusher/serve/ReportIntake.java
+++ b/src/main/java/pearusher/serve/ReportIntake.java
@@ -21,7 +21,7 @@
     private final Supplier<Assigner> module;
     /** A listed server's number by its name; null for one that no list has named yet. */
     private final Function<String, Long> numbers;
-    private Consumer<Item> listener = item -> { };
+    private Consumer<Item> listener = item -> {};
 
     ReportIntake(EventLoop loop, ReportQueue queue, SharedIntake intake, long periodUs,
             Supplier<Assigner> module, Function<String, Long> numbers) {
@@ -60,7 +60,7 @@
             // Those that failed may be more than came: there is no mean to be weighted by the good ones.
             intake.offer(new Item(origin, new Item.Requests(what.proxy(), what.grade()),
                     new Sums(what.tries(),
-                    what.failed(), 0, what.spanUs(), 1, new float[0], 0)), this::wake);
+                            what.failed(), 0, what.spanUs(), 1, new float[0], 0)), this::wake);
             return;
         }
         queue.add(() -> module.get().usage(loop.nowUs(), what.proxy(), what.grade(), what.tries(),
--- a/src/main/java/pearusher/serve/Resp.java
+++ b/src/main/java/pearusher/serve/Resp.java
@@ -182,7 +182,7 @@
         }
     }
 
-    private Resp() { }
+    private Resp() {}
 
     static byte[] write(List<String> words) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(256);
--- a/src/main/java/pearusher/serve/StreamConnection.java
+++ b/src/main/java/pearusher/serve/StreamConnection.java
@@ -25,7 +25,7 @@
 
     /** What all connections of a socket have in common. */
     record Shared(Exchange exchange, ConnectionRegistry registry, RejectionLog log, Supplier<Config> config,
-            BooleanSupplier stopping, ThreadLocal<ByteBuffer> buffers) { }
+            BooleanSupplier stopping, ThreadLocal<ByteBuffer> buffers) {}
 
     private final Shared shared;
     private final ConnectionRegistry registry;
@@ -128,7 +128,7 @@
             }
         } else if (!identified && message instanceof Message.Collector) {
             collector = true;
-            identify(() -> { });
+            identify(() -> {});
         } else if (!identified && message instanceof Message.Joined joined) {
             identify(() -> {
                 proxy = joined.proxy();
--- a/src/main/java/pearusher/serve/TimerQueue.java
+++ b/src/main/java/pearusher/serve/TimerQueue.java
@@ -7,7 +7,7 @@
  * were set. Only the decision thread uses it. It grows with the timers that are set and not yet due.
  */
 final class TimerQueue {
-    private record Timer(long dueUs, long order, long token) { }
+    private record Timer(long dueUs, long order, long token) {}
 
     private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> a.dueUs() != b.dueUs()
             ? Long.compare(a.dueUs(), b.dueUs()) : Long.compare(a.order(), b.order()));
--- a/src/main/java/pearusher/serve/UpdateComposer.java
+++ b/src/main/java/pearusher/serve/UpdateComposer.java
@@ -17,10 +17,10 @@
     private static final int PART_LINES = 8192;
 
     /** A mark of the turn: for those who get something, or for all. */
-    record MarkOrder(int number, boolean toAll) { }
+    record MarkOrder(int number, boolean toAll) {}
 
     /** Classes with the same table and the same need of it share their lines. */
-    private record TableNeed(int number, boolean whole) { }
+    private record TableNeed(int number, boolean whole) {}
 
     private final RequestClasses classes;
     private final LongFunction<String> names;
--- a/src/main/java/pearusher/serve/WarmUp.java
+++ b/src/main/java/pearusher/serve/WarmUp.java
@@ -28,24 +28,24 @@
     private static final class Silent extends Exchange {
         Silent(Config config, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker,
                 AtomicLong clock) {
-            super(config, maker, clock::get, failure -> { });
+            super(config, maker, clock::get, failure -> {});
             connect(new Calls() {
                 @Override
-                public void watch(boolean on, long since) { }
+                public void watch(boolean on, long since) {}
 
                 @Override
-                public void fetch() { }
+                public void fetch() {}
 
                 @Override
-                public void probe(long server, String hostPort) { }
-            }, (peer, body) -> { });
+                public void probe(long server, String hostPort) {}
+            }, (peer, body) -> {});
         }
 
         @Override
-        void pause() { }
+        void pause() {}
 
         @Override
-        public void log(String text) { }
+        public void log(String text) {}
     }
 
     /** A stream whose proxy reads nothing; each message is read back as a proxy would. */
@@ -60,10 +60,10 @@
         }
 
         @Override
-        public void replaced() { }
+        public void replaced() {}
     }
 
-    private WarmUp() { }
+    private WarmUp() {}
 
     static void run(Config whole, BiFunction<Assigner.Settings, Assigner.Orders, Assigner> maker) {
         Config config = whole.withFewerKnown(MOST_SERVERS);
--- a/src/main/java/pearusher/store/Chain.java
+++ b/src/main/java/pearusher/store/Chain.java
@@ -27,7 +27,7 @@
     static final String UNFINISHED = ".tmp";
 
     /** One file of the chain; {@code number}: a log's serial, a checkpoint's sequence. */
-    record Part(String name, long number, long first, long bytes) { }
+    record Part(String name, long number, long first, long bytes) {}
 
     /**
      * What was read.
@@ -41,7 +41,7 @@
     record Found(Map<String, byte[]> state, long store, long sequence, long confirmed, String damage,
             long cutBytes,
             long cutFrames, boolean closed, List<Part> checkpoints, List<Part> logs, List<String> bad,
-            long batches) { }
+            long batches) {}
 
     private final Disk disk;
     private final Map<String, byte[]> state = new HashMap<>();
@@ -272,7 +272,7 @@
     }
 
     /** Whole frames after a place, and the highest sequence that they know to be confirmed. */
-    private record Evidence(long frames, long confirmed) { }
+    private record Evidence(long frames, long confirmed) {}
 
     private Evidence evidence(Part log, long offset, long next) throws IOException {
         byte[] rest;
--- a/src/main/java/pearusher/store/Committer.java
+++ b/src/main/java/pearusher/store/Committer.java
@@ -27,7 +27,7 @@
         void notCompacted(IOException why);
     }
 
-    private record Entry(Batch batch, Runnable done) { }
+    private record Entry(Batch batch, Runnable done) {}
 
     private final Store store;
     private final Options options;
--- a/src/main/java/pearusher/store/Options.java
+++ b/src/main/java/pearusher/store/Options.java
@@ -20,7 +20,9 @@
     public enum Policy { EACH, INTERVAL, NONE }
 
     /** Refuse to start, or go on from the last consistent state before the damage and say what is lost. */
-    public enum Damage { REFUSE, STOP }
+    public enum Damage {
+        REFUSE, STOP
+    }
 
     /** Values in force where nothing else is said. */
     public static final Options USUAL = new Options(Policy.EACH, 20_000, 8 << 20, 1 << 20, 2, Damage.REFUSE);
--- a/src/main/java/pearusher/store/Store.java
+++ b/src/main/java/pearusher/store/Store.java
@@ -35,10 +35,10 @@
      * @param disowned what used the store went on without it
      */
     public record Recovered(Map<String, byte[]> state, long sequence, String damage, long cutBytes,
-            long cutFrames, boolean closed, boolean disowned) { }
+            long cutFrames, boolean closed, boolean disowned) {}
 
     /** Logs that are written no more: those below a serial, which end with a sequence. */
-    public record Sealed(long serial, long sequence) { }
+    public record Sealed(long serial, long sequence) {}
 
     private final Disk disk;
     private final Options options;
@@ -76,7 +76,7 @@
         } catch (IOException e) {
             throw new StoreException(StoreException.Reason.ABSENT, "store " + disk.place()
                     + " can't be opened: " + e
-                            + "; make the directory, or give this user the right to write", e);
+                    + "; make the directory, or give this user the right to write", e);
         }
         try {
             Chain.Found found = Chain.read(disk, Long.MAX_VALUE);
--- a/src/test/java/pearusher/ObjectCount.java
+++ b/src/test/java/pearusher/ObjectCount.java
@@ -20,7 +20,7 @@
     private final Deque<Object> open = new ArrayDeque<>();
     private long count;
 
-    private ObjectCount() { }
+    private ObjectCount() {}
 
     static long of(Object root) {
         ObjectCount counter = new ObjectCount();
--- a/src/test/java/pearusher/RingsTest.java
+++ b/src/test/java/pearusher/RingsTest.java
@@ -14,7 +14,7 @@
             .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("pearusher");
     private static final String[] DECISIONS = {"pearusher", "pearusher.recovery..", "pearusher.intake.."};
     private static final String[] MACHINERY = {"pearusher.store..", "pearusher.serve..",
-            "pearusher.adapter..",
+        "pearusher.adapter..",
         "pearusher.settings.."};
     private static final String[] HANDS = {"pearusher.cli..", "pearusher.conf.."};
 
--- a/src/test/java/pearusher/ScopeSite.java
+++ b/src/test/java/pearusher/ScopeSite.java
@@ -36,7 +36,7 @@
     /** The last reply's orders. */
     final List<String> orders = new ArrayList<>();
     /** What must hold after each reply. */
-    Runnable invariant = () -> { };
+    Runnable invariant = () -> {};
     private int ticks;
 
     ScopeSite(Assigner.Settings settings) {
@@ -105,7 +105,7 @@
                 case "bind" -> held.remove(Integer.valueOf(words[1]));
                 case "clear" -> cleared.add(Integer.valueOf(words[1]));
                 case "withdraw" -> held.values().forEach(table -> table.remove(Long.valueOf(words[1])));
-                default -> { }
+                default -> {}
             }
         }
         channel.put();
@@ -170,8 +170,8 @@
         Set<Long> open = new TreeSet<>(servers);
         open.removeAll(fleet.withdrawn);
         return held.values().stream().anyMatch(table -> servers.stream().anyMatch(table::contains))
-                || new TreeSet<>(fleet.bound.values()).stream().anyMatch(table ->
-                        open.stream().anyMatch(fleet.tables.get(table)::containsKey));
+                || new TreeSet<>(fleet.bound.values()).stream().anyMatch(table -> open.stream().anyMatch(
+                        fleet.tables.get(table)::containsKey));
     }
 
     boolean allBound() {
--- a/src/test/java/pearusher/ScopeSizeTest.java
+++ b/src/test/java/pearusher/ScopeSizeTest.java
@@ -34,8 +34,8 @@
         site.until("all bound", 20, site::allBound);
         for (int k = 0; k < 10; k++) {
             long uneven = k;
-            Fleet.servers(servers, zones).stream().map(Assigner.Entry::server).forEach(id ->
-                    site.play.meanMs.put(id, 100 + 37.0 * ((id + uneven) % 5)));
+            Fleet.servers(servers, zones).stream().map(Assigner.Entry::server).forEach(id -> site.play.meanMs
+                    .put(id, 100 + 37.0 * ((id + uneven) % 5)));
             site.seconds(1);
             hearAll(site, zones);
         }
@@ -57,8 +57,8 @@
 
     private static double[] slopes(int[] sizes, IntToLongFunction count) {
         long[] counts = Arrays.stream(sizes).mapToLong(count::applyAsLong).toArray();
-        return IntStream.range(1, sizes.length).mapToDouble(k ->
-                (counts[k] - counts[k - 1]) / (double) (sizes[k] - sizes[k - 1])).toArray();
+        return IntStream.range(1, sizes.length).mapToDouble(k -> (counts[k] - counts[k - 1])
+                / (double) (sizes[k] - sizes[k - 1])).toArray();
     }
 
     private static void assertSlopes(double least, double most, double[] slopes) {
--- a/src/test/java/pearusher/TrueChannel.java
+++ b/src/test/java/pearusher/TrueChannel.java
@@ -13,7 +13,7 @@
  * wait in one queue that drains at its true pace, whatever the settings state; who got one answers its mark.
  */
 final class TrueChannel {
-    private record Sent(int proxy, int mark, long ordered) { }
+    private record Sent(int proxy, int mark, long ordered) {}
 
     private final Play p;
     private final double linesPerS;
@@ -91,7 +91,7 @@
                 case "admit" -> changed.computeIfAbsent(Integer.parseInt(words[1]), t -> new TreeSet<>())
                         .add("level " + words[2]);
                 case "withdraw" -> out.add(words[1]);
-                default -> { }
+                default -> {}
             }
         }
         p.fleet.orders.clear();
--- a/src/test/java/pearusher/ZoneTalliesTest.java
+++ b/src/test/java/pearusher/ZoneTalliesTest.java
@@ -24,9 +24,11 @@
     private static final int ZONES = 12;
 
     /** What may happen to the tallies; weights make reports the usual step. */
-    private enum Kind { REPORT, PERIOD, SCALE, MERGE, CLEAR }
+    private enum Kind {
+        REPORT, PERIOD, SCALE, MERGE, CLEAR
+    }
 
-    private record Step(Kind kind, int zone, int good, int bad) { }
+    private record Step(Kind kind, int zone, int good, int bad) {}
 
     /** The plain model: good, microseconds and bad by zone, of the past and of the period at hand. */
     private static final class Model {
--- a/src/test/java/pearusher/adapter/ProcessTest.java
+++ b/src/test/java/pearusher/adapter/ProcessTest.java
@@ -18,7 +18,7 @@
     @TempDir
     Path dir;
 
-    private record End(int status, byte[] out, String err) { }
+    private record End(int status, byte[] out, String err) {}
 
     private End run(byte[] in, String... args) throws Exception {
         List<String> command = Stream.concat(Stream.of(Path.of(System.getProperty("java.home"), "bin", "java")
--- a/src/test/java/pearusher/adapter/Wire.java
+++ b/src/test/java/pearusher/adapter/Wire.java
@@ -9,15 +9,15 @@
     static final String SETTINGS = String.join("\n", "azs=vannes,lorient", "ceilings.peers=true",
             "ceilings.probes=true", "discovery=on_request", "familyInfo.baseMode=1",
             "familyInfo.channelRate=3900.0", "familyInfo.classOwnZone=false,true",
-                    "familyInfo.costPerLine=0.04",
+            "familyInfo.costPerLine=0.04",
             "familyInfo.ejects=5", "familyInfo.emptyForUs=3100000", "familyInfo.fixedCost=10.0",
             "familyInfo.messagesMost=0", "familyInfo.messagesOverUs=10000000",
-                    "familyInfo.mostWaiting=5900.0",
+            "familyInfo.mostWaiting=5900.0",
             "familyInfo.perTry=1.2", "familyInfo.proxyCount=8", "familyInfo.pushDelayMaxUs=735000",
             "familyInfo.reportEveryUs=1000000", "familyInfo.reportsPerS=150.0", "familyInfo.shards=0",
             "familyInfo.throttleBy=per_second", "familyInfo.transitUs=294000",
             "familyInfo.writeClasses=false,true", "fees.crossZone=0.06", "fees.lateFail=0.05",
-                    "fees.probe=0.02",
+            "fees.probe=0.02",
             "fees.waste=0.08", "grades.count=2", "grades.0.deadlineUs=3000000", "grades.0.group=all",
             "grades.0.lateWorth=0.2", "grades.0.name=day-view", "grades.0.promiseUs=1200000",
             "grades.0.repeat=retryable", "grades.0.windowUs=5000000", "grades.0.worth=1.0",
@@ -29,7 +29,7 @@
             "rules.fallUs=2000000", "rules.overloadFactor=2.5", "rules.rampTimeUs=17000000", "tickUs=5000",
             "weightKind=off", "zone=0", "some.newKey=whatever");
 
-    private Wire() { }
+    private Wire() {}
 
     public static byte[] hex(String text) {
         return HexFormat.of().parseHex(text.replaceAll("\\s", ""));
@@ -37,7 +37,7 @@
 
     public static String u32(long v) {
         return HexFormat.of().formatHex(new byte[] {(byte) v, (byte) (v >> 8), (byte) (v >> 16),
-                (byte) (v >> 24)});
+            (byte) (v >> 24)});
     }
 
     public static String u64(long v) {
--- a/src/test/java/pearusher/intake/IntakeTest.java
+++ b/src/test/java/pearusher/intake/IntakeTest.java
@@ -23,26 +23,26 @@
     private final List<Item> out = new ArrayList<>();
     private final Intake intake = new Intake(new Intake.Bounds(1000, 100, 50, 2_000_000, HOUR, false, 1),
             new Intake.Events() {
-        @Override
-        public void flood(int origin, double part) {
-            log.add("flood " + origin + " " + part);
-        }
+                @Override
+                public void flood(int origin, double part) {
+                    log.add("flood " + origin + " " + part);
+                }
 
-        @Override
-        public void expired(Item item) {
-            log.add("expired");
-        }
+                @Override
+                public void expired(Item item) {
+                    log.add("expired");
+                }
 
-        @Override
-        public void sampled(double kept, double error) {
-            log.add("sampled");
-        }
+                @Override
+                public void sampled(double kept, double error) {
+                    log.add("sampled");
+                }
 
-        @Override
-        public void over(long merged, long refused) {
-            log.add("over " + merged + " " + refused);
-        }
-    });
+                @Override
+                public void over(long merged, long refused) {
+                    log.add("over " + merged + " " + refused);
+                }
+            });
 
     private static Item item(int origin, String server, long tries) {
         return new Item(origin, new Item.Tries(server, 0), Sums.of(tries, tries / 3, 40_000, 1_000_000,
@@ -134,7 +134,7 @@
             @ForAll @Size(min = 2, max = 20) List<@IntRange(min = 1, max = 400) Integer> rates) {
         Intake one = new Intake(new Intake.Bounds(100, 1, 1000, 2_000_000, HOUR, false, 1),
                 new Intake.Events() {
-        });
+                });
         int[] heard = new int[rates.size()];
         int[] offered = new int[rates.size()];
         for (int second = 0; second <= 10; second++) {
@@ -219,11 +219,11 @@
             double[] error = new double[1];
             Intake one = new Intake(new Intake.Bounds(200, 50, 100_000, 2_000_000, HOUR, true, 7),
                     new Intake.Events() {
-                @Override
-                public void sampled(double kept, double now) {
-                    error[0] = Math.max(error[0], now);
-                }
-            });
+                        @Override
+                        public void sampled(double kept, double now) {
+                            error[0] = Math.max(error[0], now);
+                        }
+                    });
             SplittableRandom random = new SplittableRandom(5);
             long[] truth = new long[2];
             long[] heard = new long[2];
--- a/src/test/java/pearusher/serve/ConfigTest.java
+++ b/src/test/java/pearusher/serve/ConfigTest.java
@@ -54,7 +54,7 @@
         StringBuilder lines = new StringBuilder();
         Paths json = Paths.json("list",
                 "{\"a\":{\"b\":[1,2],\"c\":[{\"d\":true},{\"d\":false}],\"e\":[],\"f\":null}}"
-                .getBytes());
+                        .getBytes());
         for (String key : List.of("a.b", "a.c.count", "a.c.0.d", "a.c.1.d", "a.e")) {
             lines.append(key).append('=').append(json.need(key)).append('\n');
         }
@@ -138,7 +138,7 @@
 
     @ParameterizedTest
     @CsvSource({"EDGE_NAME,name,n1", "EDGE_LISTEN,listen,127.0.0.1:9",
-            "EDGE_DISCOVERY,discovery,127.0.0.1:9"})
+        "EDGE_DISCOVERY,discovery,127.0.0.1:9"})
     void aContradictionBetweenVariableAndFileIsSaid(String variable, String key, String value)
             throws Exception {
         Map<String, String> environment = new HashMap<>(new Example().write(dir));
--- a/src/test/java/pearusher/serve/DurableOrdersTest.java
+++ b/src/test/java/pearusher/serve/DurableOrdersTest.java
@@ -72,7 +72,7 @@
         }
 
         @Override
-        public void replaced() { }
+        public void replaced() {}
     }
 
     @BeforeEach
@@ -92,9 +92,9 @@
     private void start() throws Exception {
         Keeping keeping = new Keeping(dir, EACH, 30_000_000, 5_000_000, 600_000_000);
         durable = new Durable(config, keeping, Store.open(disk, EACH), clock::get);
-        exchange = new Exchange(config, Rules::new, clock::get, failure -> { }, durable, null) {
+        exchange = new Exchange(config, Rules::new, clock::get, failure -> {}, durable, null) {
             @Override
-            void pause() { }
+            void pause() {}
         };
         exchange.connect(new Exchange.Calls() {
             @Override
@@ -104,11 +104,11 @@
             }
 
             @Override
-            public void fetch() { }
+            public void fetch() {}
 
             @Override
-            public void probe(long server, String hostPort) { }
-        }, (peer, body) -> { });
+            public void probe(long server, String hostPort) {}
+        }, (peer, body) -> {});
         durable.start();
         exchange.begin();
         settle();
@@ -126,7 +126,7 @@
     }
 
     private void turn() throws InterruptedException {
-        exchange.event(() -> { });
+        exchange.event(() -> {});
         exchange.turn();
     }
 
@@ -356,7 +356,7 @@
             }
             Map<String, String> refusals = Map.of("create .tmp", "WARN store not compacted: cause=\"",
                     "create given-up",
-                            "ERROR store not marked as given up, begin the next start with an empty "
+                    "ERROR store not marked as given up, begin the next start with an empty "
                             + "directory: cause=\"", "sync log-", "WARN store not closed: cause=\"");
             for (Map.Entry<String, String> one : refusals.entrySet()) {
                 world();
--- a/src/test/java/pearusher/serve/DurableProcessTest.java
+++ b/src/test/java/pearusher/serve/DurableProcessTest.java
@@ -310,7 +310,7 @@
         String file = dir.resolve("p.conf").toString();
         assertEquals("pearusher: " + file + ":3:2: store.sync: 'evry' is not one of each, interval, none\n"
                 + "pearusher: " + file
-                        + ":4:2: store.patience: '5' is not a duration; write one like 20ms, 5s or "
+                + ":4:2: store.patience: '5' is not a duration; write one like 20ms, 5s or "
                 + "10min\n", log("log"));
     }
 }
--- a/src/test/java/pearusher/serve/EndingTest.java
+++ b/src/test/java/pearusher/serve/EndingTest.java
@@ -19,7 +19,7 @@
 class EndingTest {
     private static final Map<Ending, Probe> PROBES = new EnumMap<>(Map.of(Ending.ANSWERED, Probe.OK,
             Ending.UNAVAILABLE, Probe.TURNED_AWAY, Ending.ERROR_STATUS, Probe.ERROR, Ending.REFUSED,
-                    Probe.DOWN,
+            Probe.DOWN,
             Ending.UNREACHABLE, Probe.DOWN, Ending.SILENT, Probe.NO_ANSWER, Ending.CLOSED, Probe.BROKEN,
             Ending.RESET, Probe.BROKEN, Ending.GARBAGE, Probe.BROKEN, Ending.TOO_LONG, Probe.BROKEN));
 
--- a/src/test/java/pearusher/serve/GrowthTest.java
+++ b/src/test/java/pearusher/serve/GrowthTest.java
@@ -72,7 +72,7 @@
         }
 
         @Override
-        public void replaced() { }
+        public void replaced() {}
     }
 
     private void start() throws Exception {
@@ -81,20 +81,20 @@
 
     private void start(Example example) throws Exception {
         config = example.read(dir);
-        exchange = new Exchange(config, Rules::new, clock::get, failure -> { }) {
+        exchange = new Exchange(config, Rules::new, clock::get, failure -> {}) {
             @Override
-            void pause() { }
+            void pause() {}
         };
         exchange.connect(new Exchange.Calls() {
             @Override
-            public void watch(boolean on, long since) { }
+            public void watch(boolean on, long since) {}
 
             @Override
-            public void fetch() { }
+            public void fetch() {}
 
             @Override
-            public void probe(long server, String hostPort) { }
-        }, (peer, body) -> { });
+            public void probe(long server, String hostPort) {}
+        }, (peer, body) -> {});
         exchange.begin();
     }
 
@@ -123,7 +123,7 @@
     private void period(List<String> names) throws Exception {
         for (int k = 0; k < 18; k++) {
             pass(config.settings().periodUs() / 20);
-            exchange.event(() -> { });
+            exchange.event(() -> {});
             exchange.turn();
         }
         for (String name : names) {
@@ -136,7 +136,7 @@
         }
         // Timers fall due between the periods' reports too.
         for (int k = 0; k < 4; k++) {
-            exchange.event(() -> { });
+            exchange.event(() -> {});
             exchange.turn();
             pass(config.settings().periodUs() / 40);
         }
--- a/src/test/java/pearusher/serve/IntakeServeTest.java
+++ b/src/test/java/pearusher/serve/IntakeServeTest.java
@@ -30,10 +30,10 @@
     private List<String> told(SharedIntake intake, long seed) throws Exception {
         Scripted module = new Scripted();
         AtomicLong clock = new AtomicLong(1_000_000_000_000_000L);
-        Exchange exchange = new Exchange(new Example().read(dir), module, clock::get, failure -> { }, null,
+        Exchange exchange = new Exchange(new Example().read(dir), module, clock::get, failure -> {}, null,
                 intake) {
             @Override
-            void pause() { }
+            void pause() {}
         };
         module.on(exchange);
         exchange.begin();
@@ -46,10 +46,10 @@
                 switch (random.nextInt(6)) {
                     case 0 -> exchange.joined(new Exchange.Stream() {
                         @Override
-                        public void send(byte[] message) { }
+                        public void send(byte[] message) {}
 
                         @Override
-                        public void replaced() { }
+                        public void replaced() {}
                     }, new Message.Joined(proxy, proxy % 2, 2.5, true));
                     case 1 -> exchange.listed(new Message.Listing(50 + turn, false, List.of()), false);
                     case 2 -> exchange.usage(new Message.Usage(proxy, 0, random.nextInt(50),
@@ -66,7 +66,7 @@
                 }
             }
             clock.addAndGet(5000);
-            exchange.event(() -> { });
+            exchange.event(() -> {});
             exchange.turn();
         }
         return List.copyOf(module.told);
@@ -79,7 +79,7 @@
             assertTrue(before.size() > 300, "" + before.size());
             List<String> now = told(new SharedIntake(
                     new Intake.Bounds(1000, 100, 10, 1_000_000, 3_600_000_000L,
-                    true, 1)), seed);
+                            true, 1)), seed);
             for (int k = 0; k < before.size(); k++) {
                 assertEquals(before.get(k), now.get(k), "seed " + seed + " event " + k);
             }
@@ -99,7 +99,7 @@
             SharedIntake waiting = new SharedIntake(
                     new Intake.Bounds(500, 100, 50, 300_000, 3_600_000_000L, true, 1));
             serve = new Serve(new Example().discovery(discovery.address()).read(dir), module,
-                    Exchange.unixClock(), failure -> { }, null, waiting);
+                    Exchange.unixClock(), failure -> {}, null, waiting);
             module.on(serve.exchange());
             InetSocketAddress at = serve.start();
             Stand.Caller loud = new Stand.Caller(at);
@@ -153,18 +153,18 @@
             SharedIntake waiting = new SharedIntake(
                     new Intake.Bounds(100, 100, 1000, 300_000, 5_000_000, true, 1));
             for (int k = 0; k < 50; k++) {
-                waiting.offer(report(3, "s1"), () -> { });
+                waiting.offer(report(3, "s1"), () -> {});
             }
             for (int k = 0; k < 50; k++) {
-                waiting.next(1_000_000, item -> { });
+                waiting.next(1_000_000, item -> {});
             }
             assertTrue(log.toString(StandardCharsets.UTF_8).matches(
                     "(?s).*WARN reports expired: count=32 origin=\"proxy 3\"\n"), log.toString());
             for (int k = 0; k < 1500; k++) {
-                waiting.offer(report(-7 - k % 2, "s" + k), () -> { });
+                waiting.offer(report(-7 - k % 2, "s" + k), () -> {});
             }
-            waiting.serve(1_000_000, item -> { });
-            waiting.serve(2_000_000, item -> { });
+            waiting.serve(1_000_000, item -> {});
+            waiting.serve(2_000_000, item -> {});
             assertTrue(log.toString(StandardCharsets.UTF_8).matches("(?s).*WARN reports sampled: times=1 "
                     + "kept=0\\.07 error=0\\.\\d+\n.*"), log.toString());
         } finally {
@@ -202,8 +202,8 @@
         int from = json.indexOf("\"instances\": [") + "\"instances\": [".length();
         SharedIntake waiting = new SharedIntake(
                 new Intake.Bounds(relays, 4 * relays, 200, 300_000, 3_600_000_000L,
-                true,
-                7));
+                        true,
+                        7));
         long[] view = new long[servers];
         double[] variance = new double[servers];
         List<Stand.Caller> callers = new ArrayList<>();
@@ -211,7 +211,7 @@
         try (Stand.Http discovery = new Stand.Http()) {
             Config config = example.with(json.substring(from, json.indexOf("]", from)), known.toString())
                     .discovery(discovery.address()).read(dir);
-            serve = new Serve(config, Rules::new, Exchange.unixClock(), failure -> { }, null, waiting);
+            serve = new Serve(config, Rules::new, Exchange.unixClock(), failure -> {}, null, waiting);
             // The decision thread hears them one by one; nothing else touches the sums.
             serve.exchange().hearing(item -> {
                 int server = Integer.parseInt(((Item.Tries) item.about()).server().substring(1));
--- a/src/test/java/pearusher/serve/ListLimitTest.java
+++ b/src/test/java/pearusher/serve/ListLimitTest.java
@@ -112,7 +112,7 @@
             watch.beginWatch();
             watch.line(Stand.listing(43, true, Stand.instance("s-0badcafe", "127.0.0.1:1", "north",
                     "terminating", 0), Stand.instance("s-0badcafe", task.address(), "south", "in_service",
-                    0)));
+                            0)));
             module.hear("listed WHOLE [Entry[server=1, zone=0, kind=0, cell=0, state=DRAINING, weight=1.0, "
                     + "startedUs=0], Entry[server=1, zone=1, kind=0, cell=0, state=READY, weight=1.0, "
                     + "startedUs=0]]");
--- a/src/test/java/pearusher/serve/ListingReaderTest.java
+++ b/src/test/java/pearusher/serve/ListingReaderTest.java
@@ -265,8 +265,8 @@
     }
 
     @Property(seed = "34", tries = 2000)
-    void whatItReadsIsWhatTheFlattenedTextMeant(@ForAll long seed, @ForAll @IntRange(min = 1, max = 40)
-            int piece) throws Exception {
+    void whatItReadsIsWhatTheFlattenedTextMeant(@ForAll long seed, @ForAll @IntRange(min = 1,
+            max = 40) int piece) throws Exception {
         String text = listing(new Random(seed));
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         ListingReader reader = reader(100);
--- a/src/test/java/pearusher/serve/MessageTest.java
+++ b/src/test/java/pearusher/serve/MessageTest.java
@@ -68,7 +68,7 @@
 
     @ParameterizedTest
     @CsvSource({"util:0.5,'0.5,0'", "'inflight:3','0,3'", "'qps:9,inflight:3,util:x','0,3'",
-            "'queue:9','0,0'",
+        "'queue:9','0,0'",
         "'',''", "'nonsense',''", "'util:NaN',''"})
     void loadsGoByName(String load, String wanted) {
         StringBuilder got = new StringBuilder();
@@ -92,15 +92,15 @@
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"joined proxy 7 zone|odd", "jump proxy 7|unknown kind",
         "joined proxy 8 zone north weight 1 fresh 1|proxy 8",
-                "joined proxy -1 zone north weight 1 fresh 1|proxy",
+        "joined proxy -1 zone north weight 1 fresh 1|proxy",
         "joined proxy 7 zone east weight 1 fresh 1|zone 'east'",
-                "joined proxy 7 weight 1 fresh 1|zone is missing",
+        "joined proxy 7 weight 1 fresh 1|zone is missing",
         "joined proxy 7 zone north weight heavy fresh 1|weight",
-                "joined proxy 7 zone north weight -1 fresh 1|weight",
+        "joined proxy 7 zone north weight -1 fresh 1|weight",
         "joined proxy 7 zone north weight NaN fresh 1|weight",
-                "joined proxy 7 zone north weight 1 fresh yes|fresh",
+        "joined proxy 7 zone north weight 1 fresh yes|fresh",
         "applied proxy 7 mark 1.5 took_ms 3|mark",
-                "usage proxy 7 class bulk tries 1 failed 0 span_ms 1|class",
+        "usage proxy 7 class bulk tries 1 failed 0 span_ms 1|class",
         "usage proxy 7 class order tries 1 failed 0|span_ms is missing", "collector|zone is missing"})
     void aFaultNamesTheValue(String line, String named) {
         String said = assertThrows(Message.Fault.class, () -> read(line)).getMessage();
@@ -172,7 +172,8 @@
         assertEquals(List.of(new Message.Instance("a", "127.0.0.1:1", 1, 0, 0, Assigner.State.DRAINING, 1,
                 1_700_000_000_123_000L), new Message.Instance("b", "127.0.0.1:2", 0, 0, 0,
                         Assigner.State.GONE,
-                1, 0), new Message.Instance("d", "127.0.0.1:4", 0, 0, 0, Assigner.State.DRAINING, 1, 0)),
+                        1, 0), new Message.Instance("d", "127.0.0.1:4", 0, 0, 0, Assigner.State.DRAINING, 1,
+                                0)),
                 got.instances());
         assertTrue(!got.whole() && Stand.read(Stand.listing(0, true), names).whole());
     }
--- a/src/test/java/pearusher/serve/ParityTest.java
+++ b/src/test/java/pearusher/serve/ParityTest.java
@@ -189,7 +189,7 @@
         streams.put(proxy, stream);
         both(stream, "joined proxy " + proxy + " zone " + ZONES.get(proxy % 2) + " weight " + (5 + proxy)
                 + " fresh " + (fresh ? 1 : 0), "07" + u16(proxy) + u8(proxy % 2) + f32(5 + proxy)
-                + (fresh ? "01" : "00"));
+                        + (fresh ? "01" : "00"));
     }
 
     private java.net.InetSocketAddress address;
@@ -222,7 +222,7 @@
         example.with(json.substring(known, settings), "\"known\": " + Stand.listing(41, true,
                 first.toArray(new String[0])) + ",\n  ");
         Config config = example.read(dir);
-        exchange = new Exchange(config, Rules::new, clock::get, failure -> { });
+        exchange = new Exchange(config, Rules::new, clock::get, failure -> {});
         Streams server = new Streams(config, exchange, threads, scheduler);
         Outbound outbound = new Outbound(config, exchange, threads, scheduler);
         // Probes are left out: their answers come at times of their own.
@@ -238,8 +238,8 @@
             }
 
             @Override
-            public void probe(long server, String hostPort) { }
-        }, (peer, body) -> { });
+            public void probe(long server, String hostPort) {}
+        }, (peer, body) -> {});
         address = server.listen();
         outbound.start();
         exchange.begin();
@@ -297,7 +297,7 @@
             case 70 -> list(watch, 46, new int[] {3, 1});
             case 71 -> leave(1);
             case 72 -> join(1, true, server);
-            default -> { }
+            default -> {}
         }
         if (step % 4 == 0) {
             boolean jam = step > 80 && step < 100;
@@ -309,7 +309,7 @@
                     both(collector, "heard zone " + ZONES.get(z) + " server s" + k + " tries " + tries
                             + " failed " + failed + " mean_ms " + ms + " span_ms 1000.0",
                             "0a" + Wire.u32(tries) + Wire.u32(failed) + Wire.u32(1_000_000) + u8(z) + task(k)
-                            + Wire.u32(ms * 1000L) + "00");
+                                    + Wire.u32(ms * 1000L) + "00");
                 }
             }
         }
@@ -318,7 +318,7 @@
             int requests = 1 + random.nextInt(12);
             both(collector, "usage proxy " + p + " class " + CLASSES.get(grade) + " tries " + requests
                     + " failed 0 span_ms 500.0", "0b" + u16(p) + u8(grade) + Wire.u32(requests) + Wire.u32(0)
-                    + Wire.u32(500_000));
+                            + Wire.u32(500_000));
             List<Integer> tickets = held.get(p).tickets;
             if (step % 3 == 0 && !tickets.isEmpty()) {
                 int mark = tickets.get(tickets.size() - 1);
--- a/src/test/java/pearusher/serve/RespTest.java
+++ b/src/test/java/pearusher/serve/RespTest.java
@@ -47,7 +47,7 @@
             byte[] tail = java.util.Arrays.copyOfRange(two, cut, two.length);
             assertEquals(List.of(words, List.of("ping")), all(new Resp.Reader(Resp.MOST), head, tail),
                     "cut at "
-                    + cut);
+                            + cut);
         }
         byte[][] single = new byte[two.length][];
         for (int k = 0; k < two.length; k++) {
@@ -80,7 +80,7 @@
     @ParameterizedTest
     @CsvSource(quoteCharacter = '`', value = {"GET / HTTP/1.1@,GARBAGE", "*-1@,GARBAGE", "*0@,GARBAGE",
         "*x@,GARBAGE", "*1@+ping@,GARBAGE", "*1@$-1@,GARBAGE", "*1@$4@pingXX,GARBAGE",
-                "*1@$1048577@,TOO_LONG",
+        "*1@$1048577@,TOO_LONG",
         "*1048577@,TOO_LONG", "*00000000000000000000001@,GARBAGE", "PING@,GARBAGE"})
     void whatIsNotRespEndsTheConnection(String text, Ending ending) {
         byte[] raw = bytes(text.replace("@", "\r\n"));
--- a/src/test/java/pearusher/serve/Scripted.java
+++ b/src/test/java/pearusher/serve/Scripted.java
@@ -46,7 +46,7 @@
     /** Gives orders in a turn of their own. */
     void order(Consumer<Assigner.Orders> what) {
         asked.add(what);
-        exchange.event(() -> { });
+        exchange.event(() -> {});
     }
 
     /** Waits until the module was told this, and forgets all up to then. */
--- a/src/test/java/pearusher/serve/ServeProcessTest.java
+++ b/src/test/java/pearusher/serve/ServeProcessTest.java
@@ -33,7 +33,7 @@
 
     /** Runs serve with a module that fails, as no real one does on order. */
     public static final class Failing {
-        private Failing() { }
+        private Failing() {}
 
         public static void main(String[] args) {
             AtomicInteger made = new AtomicInteger();
--- a/src/test/java/pearusher/serve/ServeTest.java
+++ b/src/test/java/pearusher/serve/ServeTest.java
@@ -187,7 +187,7 @@
     /** Who has not joined gets its end at once, whatever it brings; none of it reaches the module. */
     @ParameterizedTest
     @ValueSource(strings = {"!GET / HTTP/1.1\r\n\r\n", "!*1\r\n$9000\r\n", "!*9999999\r\n", "jump",
-            "joined proxy",
+        "joined proxy",
         "joined proxy 99 zone north weight 1 fresh 1", "joined proxy 3 zone west weight 1 fresh 1",
         "collector zone west", "collector", "usage proxy 3 class order tries 1 failed 0 span_ms 1",
         "heard zone north server s-5be2a07c tries 1 failed 0 mean_ms 1 span_ms 1",
@@ -462,7 +462,7 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"503", "404", "reset", "close", "hang", "silent", "end", "garbage", "json",
-            "cut"})
+        "cut"})
     void aWatchThatFailsIsToldOnceAndMayBeAskedAgain(String how) throws Exception {
         example.with("\"answer_ms\": 3000", "\"answer_ms\": 200").with("\"connect_ms\": 1000",
                 "\"connect_ms\": 100")
@@ -493,7 +493,7 @@
                 watch.write("40\r\n{\"generation\"");
                 watch.socket().close();
             }
-            default -> { }
+            default -> {}
         }
         module.hear("listed FAILED []");
         assertEquals(List.of(), module.told);
@@ -545,7 +545,7 @@
     @ParameterizedTest
     @CsvSource({"200,OK", "503,TURNED_AWAY", "500,ERROR", "404,ERROR", "hang,NO_ANSWER", "reset,BROKEN",
         "close,BROKEN", "cut,BROKEN", "garbage,BROKEN", "long,BROKEN", "refused,DOWN", "nowhere,DOWN",
-                "full,DOWN"})
+        "full,DOWN"})
     void aProbeEndsOnceInOneOutcome(String how, String outcome) throws Exception {
         example.with("\"answer_ms\": 3000", "\"answer_ms\": 200").with("\"connect_ms\": 1000",
                 "\"connect_ms\": 100");
@@ -567,7 +567,7 @@
         module.hear("listed CACHED");
         running.get(0).exchange().listed(Stand.read(Stand.listing(60, false,
                 Stand.instance("s-5be2a07c",
-                address, "north", "in_service", 0)), example.read(dir).names()), false);
+                        address, "north", "in_service", 0)), example.read(dir).names()), false);
         module.hear("listed CHANGES");
         module.order(o -> o.probe(0));
         if (!List.of("refused", "nowhere", "full").contains(how)) {
@@ -584,7 +584,7 @@
                 }
                 case "garbage" -> call.write("\u0001\u0002 nonsense\r\n\r\n");
                 case "long" -> call.answer(200, "x".repeat(100_000));
-                default -> { }
+                default -> {}
             }
         }
         module.hear("probed 0 " + outcome);
@@ -703,7 +703,7 @@
         Config config = example.read(dir);
         Exchange exchange = new Exchange(config, module, () -> 1_000_000, failure::set) {
             @Override
-            void pause() { }
+            void pause() {}
         };
         module.on(exchange);
         exchange.begin();
@@ -712,10 +712,10 @@
         }
         exchange.joined(new Exchange.Stream() {
             @Override
-            public void send(byte[] message) { }
+            public void send(byte[] message) {}
 
             @Override
-            public void replaced() { }
+            public void replaced() {}
         }, new Message.Joined(5, 0, 1, true));
         assertEquals(50, exchange.dropped());
         logged("WARN reports dropped: 20000 wait, more are dropped from here on");
--- a/src/test/java/pearusher/serve/Stand.java
+++ b/src/test/java/pearusher/serve/Stand.java
@@ -25,7 +25,7 @@
 
 /** Small stand-ins for the outside systems, written from the protocol's page, and waits on conditions. */
 final class Stand {
-    private Stand() { }
+    private Stand() {}
 
     /** Waits until it holds; a test that hangs here has failed. */
     static void until(String what, BooleanSupplier holds) throws InterruptedException {
@@ -78,7 +78,7 @@
             return this;
         }
 
-        void message(List<String> words) throws IOException { }
+        void message(List<String> words) throws IOException {}
 
         void send(String line) throws IOException {
             send(say(line));
--- a/src/test/java/pearusher/store/SimDisk.java
+++ b/src/test/java/pearusher/store/SimDisk.java
@@ -33,9 +33,11 @@
     }
 
     /** Defences that a test takes out: the call returns and does nothing. */
-    public enum Lie { SYNC, SYNC_DIRECTORY, SYNC_UNFINISHED, SYNC_LEFT }
+    public enum Lie {
+        SYNC, SYNC_DIRECTORY, SYNC_UNFINISHED, SYNC_LEFT
+    }
 
-    private record Piece(int at, byte[] bytes) { }
+    private record Piece(int at, byte[] bytes) {}
 
     private static final class Node {
         byte[] durable = new byte[0];
@@ -57,7 +59,7 @@
     /** What failed calls name; and the bytes left on a disk that can be full. */
     long room = Long.MAX_VALUE;
     /** Seen before each call that changes anything. */
-    public volatile BiConsumer<String, String> watch = (what, name) -> { };
+    public volatile BiConsumer<String, String> watch = (what, name) -> {};
 
     public SimDisk(Lie... lies) {
         this(new TreeMap<>(), lies);
@@ -169,7 +171,7 @@
             }
 
             @Override
-            public void close() { }
+            public void close() {}
         };
     }
 
