Scope: a server's rank is drawn once, not at each comparison

Cause: a recording of the target's size (9,100 servers, 98 zones, 0.5 changes of the list a second) showed a fifth of the decision thread's samples in the drawing of ranks, which is done twice a comparison at each change. Change: the rank is drawn as the server is first listed. Orders are the same; scope tests and RulesTest pass.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -201,7 +201,7 @@
             Server s = servers.get(e.server());
             if (s == null) {
                 if (e.state() == State.GONE) { continue; }
-                s = new Server(e.server());
+                s = new Server(e.server(), new SplittableRandom(set.seed() ^ e.server()).nextLong());
                 s.listedUs = now;
                 servers.put(s.id, s);
                 // What started since we run and was never out nobody can have withdrawn; yet ids return, and
@@ -496,7 +496,7 @@
         up.clear();
         servers.values().stream().filter(this::serving).forEach(up::add);
         if (up.size() > mostListed) {
-            up.sort(Comparator.comparingLong(s -> new SplittableRandom(set.seed() ^ s.id).nextLong()));
+            up.sort(Comparator.comparingLong(s -> s.rank));
             long each = (long) (SCOPE_OWN * mostListed / Math.max(1, zonesInScope().count()));
             Stream<Server> own = zonesInScope().flatMap(z ->
                     up.stream().filter(s -> s.zone == z).limit(each));
--- a/src/main/java/pearusher/Server.java
+++ b/src/main/java/pearusher/Server.java
@@ -5,6 +5,8 @@
 /** What the module has heard of one server and planned for it; it decides nothing. */
 final class Server {
     final long id;
+    /** Its place in this process's order of servers, where not all can be listed. */
+    final long rank;
     int zone;
     double listed = 1;
     Assigner.State state = Assigner.State.READY;
@@ -24,8 +26,9 @@
     /** Whether tables may list it: among those that serve, as of the last choice. */
     boolean scoped;
 
-    Server(long id) {
+    Server(long id, long rank) {
         this.id = id;
+        this.rank = rank;
     }
 
     void forget() {
