Scope: a zone begins with its first proxy as it did before, evenly at a start

Cause: tables used to stand before the first proxy came, with even weights, and went to the full pull of the own zone only from there. A zone that comes into scope was weighed after its proxy had joined, and its first bind brought the full pull at once, before anything was heard of demand. Change: it is weighed, and its lines noted, as its first proxy joins and before that counts.

--- a/src/main/java/pearusher/Rules.java
+++ b/src/main/java/pearusher/Rules.java
@@ -247,9 +247,15 @@
     public void joined(long now, int proxy, int zone, double perS, boolean onlyStanding) {
         ProxyState p = new ProxyState(Math.min(zone, zones - 1), !onlyStanding, level.length, now);
         Arrays.fill(p.perS, Math.max(0, perS) / Math.max(1, level.length));
-        proxies.put(proxy, p);
         rescope |= !tables.containsKey(p.zone);
         table(p.zone).usedUs = now;
+        // A zone that comes into scope begins as if it had been there before: evenly at a start.
+        if (started && table(p.zone).planned.isEmpty()) {
+            weigh(p.zone);
+            lines(Map.of(p.zone, table(p.zone)));
+            deal();
+        }
+        proxies.put(proxy, p);
         p.sure = onlyStanding || started && now - startUs > HELD_OLD * set.limits().graceUs();
         if (p.sure) { to.sure(proxy); }
         restarts |= heardPasses == 0;
@@ -400,10 +406,6 @@
             reported = false;
             tables(now);
         }
-        // A zone whose first proxy came after the start has its table at once.
-        List<Integer> entering = zonesInScope().filter(z -> tables.get(z).planned.isEmpty()).toList();
-        entering.forEach(this::weigh);
-        if (!entering.isEmpty()) { deal(); }
         send(now);
     }
 
@@ -448,8 +450,7 @@
     /** Long gone, and in no table: over days every server is replaced, and each would stay for good. */
     private boolean forgotten(long now, Server s) {
         boolean out = s.state == State.GONE && now - s.outUs > FORGET * set.limits().graceUs()
-                && !withdrawals.contains(s.id) && tables.values().stream().noneMatch(t ->
-                        t.sent.containsKey(s.id));
+                && !withdrawals.contains(s.id) && !isSent(s.id);
         if (out) {
             tables.values().forEach(t -> t.waits.remove(s.id));
             to.forget(s.id);
@@ -477,14 +478,13 @@
     /** Lets go of the tables of zones without a proxy here for long; what they told counts as elsewhere's. */
     private void release(long now) {
         proxies.values().forEach(p -> table(p.zone).usedUs = now);
-        List<Integer> over = tables.keySet().stream().filter(t ->
-                now - table(t % zones).usedUs > FORGET * set.limits().graceUs()).toList();
-        for (int t : over) {
+        tables.keySet().stream().filter(t -> now - table(t % zones).usedUs
+                > FORGET * set.limits().graceUs()).toList().forEach(t -> {
             tables.remove(t);
             to.clear(t);
             servers.values().forEach(s -> s.tallies.merge(t));
             rescope = true;
-        }
+        });
     }
 
     /** The servers that tables may list: all that serve, or as many as a bind can carry (a line may come with
@@ -506,6 +506,8 @@
         up.forEach(s -> s.scoped = true);
     }
 
+    private boolean isSent(long id) { return tables.values().stream().anyMatch(t -> t.sent.containsKey(id)); }
+
     /** Whether a line of that server would make a table too long: ends of lines go first then. */
     private boolean full(ZoneTable table, long id) {
         return !table.sent.containsKey(id) && table.sent.size() >= mostListed;
@@ -1010,7 +1012,7 @@
             tables.forEach((t, table) -> {
                 if (table.sent.containsKey(id) && take(table.users, 1, QUEUE_MOST)) { line(t, id, 0); }
             });
-            return tables.values().stream().noneMatch(t -> t.sent.containsKey(id));
+            return !isSent(id);
         }
         boolean fits = take(proxies.keySet().stream().filter(p -> !proxies.get(p).follows
                 || table(proxies.get(p).table).sent.containsKey(id)).toList(), 1, QUEUE_MOST);
@@ -1021,8 +1023,7 @@
     /** A server that was out is let in again together with its lines: a cold one would else get the weight
      * that it had. Guards against restarts of many at once. Where no table lists it joiners alone hear. */
     private boolean back(Server s) {
-        boolean listed = rescope || s.scoped || tables.values().stream().anyMatch(t ->
-                t.sent.containsKey(s.id));
+        boolean listed = rescope || s.scoped || isSent(s.id);
         boolean fits = take(listed ? proxies.keySet() : oldest(p -> !p.follows), 2, QUEUE_BACK);
         if (fits) {
             tables.headMap(zones).forEach((z, table) -> line(z, s.id, scale(table)
