--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -89,10 +90,21 @@
     }
   }
 
+  /**
+   * Returns a free port below the range that the system gives to outgoing connections. One of those
+   * could otherwise take the port before the assigner listens, or while it is down.
+   */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    Random random = new Random();
+    for (int attempt = 0; attempt < 100; attempt++) {
+      int port = 12_000 + random.nextInt(18_000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // The port is taken; another one is tried.
+      }
     }
+    throw new IOException("no free port found");
   }
 
   Task task(String id, String zone, int cell, long startedAtMs) throws IOException {
