Count unfinished messages by the heap that they occupy, not by received bytes

Cause: RespReader limited the unfinished messages of all connections by received bytes, 5 MB with the deployed heap. A string that was read is kept as an object until its message is complete: 7 bytes on the wire are 48 bytes of objects and a list entry. 5 MB were 38 MB of a heap of 40 MB. The 4 KiB that any message may exceed the limit by were counted in bytes as well, and a message that was complete no longer counted while its connection processed it.

Change: UnfinishedMessageHeap counts the heap of strings and buffer, for the limit and for the guaranteed size; a complete message counts until the next read; a closed reader lets go of its strings.

--- a/src/main/java/pearusher/protocol/RespReader.java
+++ b/src/main/java/pearusher/protocol/RespReader.java
@@ -5,34 +5,27 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Incremental reader of the RESP2 arrays of bulk strings on one connection. Thread-safe. Its memory
- * use is proportional to the received bytes of an unfinished message, never to an announced length.
+ * use grows with the strings and bytes received of an unfinished message, never with an announced
+ * length; {@link UnfinishedMessageHeap} bounds the memory of all readers together.
  */
 public final class RespReader implements AutoCloseable {
   /** Maximum size of a message in bytes, including headers. */
   public static final int MAX_MESSAGE_BYTES = 1 << 20;
 
-  /**
-   * Maximum size of all unfinished messages of this process together. While a buffer grows, a byte
-   * occupies two bytes of memory.
-   */
-  private static final long MAX_UNFINISHED_BYTES =
-      Math.min(8L << 20, Math.max(2 * MAX_MESSAGE_BYTES, Runtime.getRuntime().maxMemory() / 8));
-
-  /**
-   * Size of an unfinished message that is accepted even beyond {@link #MAX_UNFINISHED_BYTES}: ten
-   * messages of a proxy.
-   */
-  private static final int GUARANTEED_UNFINISHED_BYTES = 4 << 10;
-
   /**
    * Maximum size of a buffer that is reused; a larger one is replaced after its string was read.
    */
   private static final int MAX_RETAINED_BUFFER_BYTES = 1 << 10;
 
+  /** Maximum number of strings for which a list is reused; a larger one is replaced. */
+  private static final int MAX_RETAINED_STRINGS = 64;
+
+  /** Heap bytes of the buffer per byte in it: the buffer doubles its size when it is full. */
+  private static final int HEAP_BYTES_PER_BUFFERED_BYTE = 2;
+
   private static final int INITIAL_BUFFER_BYTES = 64;
   private static final int MAX_HEADER_BYTES = 16;
   private static final byte[] LINE_END = {'\r', '\n'};
@@ -40,10 +33,8 @@
   /** Marks a length that no header has announced yet. */
   private static final int UNKNOWN_LENGTH = -1;
 
-  private static final AtomicLong UNFINISHED_BYTES = new AtomicLong();
-
   private ByteArrayOutputStream buffer = new ByteArrayOutputStream(INITIAL_BUFFER_BYTES);
-  private final List<String> strings = new ArrayList<>();
+  private List<String> strings = new ArrayList<>();
   private int remainingStrings = UNKNOWN_LENGTH;
   private int stringLength = UNKNOWN_LENGTH;
 
@@ -52,8 +43,11 @@
 
   private int messageBytes;
 
-  /** Share of this reader in {@link #UNFINISHED_BYTES}. */
-  private int accountedBytes;
+  /** Heap that {@link #strings} occupies, in bytes. */
+  private long stringsHeapBytes;
+
+  private final UnfinishedMessageHeap.Share heapShare =
+      UnfinishedMessageHeap.OF_THIS_PROCESS.newShare();
 
   private int maxMessageBytes;
   private boolean closed;
@@ -94,21 +88,31 @@
         return completeMessage();
       }
     }
-    updateAccountedBytes(messageBytes);
+    accountUnfinishedMessage();
     return null;
   }
 
+  /**
+   * Updates the heap that is accounted to this reader. A complete message remains accounted until
+   * the next call of {@link #next} returns null, because the caller processes it until then.
+   */
+  private void accountUnfinishedMessage() throws RespException {
+    long bufferHeapBytes = (long) HEAP_BYTES_PER_BUFFERED_BYTE * buffer.size();
+    if (!heapShare.resize(stringsHeapBytes + bufferHeapBytes)) {
+      throw tooLong("unfinished messages of all connections exceed " + heapShare.describeLimit());
+    }
+  }
+
   /** Returns whether some but not all bytes of a message were received. */
   public synchronized boolean isMidMessage() {
     return messageBytes > 0;
   }
 
-  private List<String> completeMessage() throws RespException {
+  private List<String> completeMessage() {
     List<String> message = List.copyOf(strings);
-    strings.clear();
+    discardStrings();
     remainingStrings = UNKNOWN_LENGTH;
     messageBytes = 0;
-    updateAccountedBytes(0);
     return message;
   }
 
@@ -174,7 +178,7 @@
     if (lineEndBytesRead < LINE_END.length) {
       return false;
     }
-    strings.add(buffer.toString(StandardCharsets.UTF_8));
+    addString();
     remainingStrings--;
     stringLength = UNKNOWN_LENGTH;
     lineEndBytesRead = 0;
@@ -182,6 +186,21 @@
     return true;
   }
 
+  private void addString() {
+    String string = buffer.toString(StandardCharsets.UTF_8);
+    strings.add(string);
+    stringsHeapBytes += UnfinishedMessageHeap.bytesOfString(string, stringLength);
+  }
+
+  /** Discards the strings, and the list if it has grown large. */
+  private void discardStrings() {
+    if (strings.size() > MAX_RETAINED_STRINGS) {
+      strings = new ArrayList<>();
+    }
+    strings.clear();
+    stringsHeapBytes = 0;
+  }
+
   /**
    * Clears the buffer. Replaces a large buffer; otherwise each connection would retain memory for
    * its longest string.
@@ -200,18 +219,6 @@
     }
   }
 
-  /** Updates the share of this reader in {@link #UNFINISHED_BYTES} and checks the limit. */
-  private void updateAccountedBytes(int bytes) throws RespException {
-    boolean exceedsSharedLimit =
-        UNFINISHED_BYTES.addAndGet(bytes - accountedBytes) > MAX_UNFINISHED_BYTES;
-    boolean grew = bytes > accountedBytes;
-    accountedBytes = bytes;
-    if (exceedsSharedLimit && grew && bytes > GUARANTEED_UNFINISHED_BYTES) {
-      throw tooLong(
-          "unfinished messages of all connections exceed " + MAX_UNFINISHED_BYTES + " bytes");
-    }
-  }
-
   private static RespException malformed(String detail) {
     return new RespException(RespException.Kind.MALFORMED, "not RESP: " + detail);
   }
@@ -220,11 +227,12 @@
     return new RespException(RespException.Kind.TOO_LONG, detail);
   }
 
-  /** Releases the share of this reader in the limit on all unfinished messages. */
+  /** Discards an unfinished message and ends the accounting of its heap. */
   @Override
   public synchronized void close() {
     closed = true;
-    UNFINISHED_BYTES.addAndGet(-accountedBytes);
-    accountedBytes = 0;
+    discardStrings();
+    buffer = new ByteArrayOutputStream(0);
+    heapShare.release();
   }
 }
--- a/src/test/java/pearusher/protocol/RespReaderTest.java
+++ b/src/test/java/pearusher/protocol/RespReaderTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -16,6 +17,9 @@
 
 /** Reading of RESP messages that arrive in pieces, rejection of malformed bytes, and limits. */
 class RespReaderTest {
+  /** Heap of a string of one character: two objects of 24 bytes each. */
+  private static final int HEAP_BYTES_OF_SHORT_STRING = 48;
+
   private static RespReader reader() {
     return new RespReader(RespReader.MAX_MESSAGE_BYTES);
   }
@@ -153,6 +157,48 @@
     assertTrue(rejected >= 600 - (8 << 20) / 30_000, rejected + " of 600 rejected");
   }
 
+  /**
+   * Hundreds of connections may each leave kilobytes of one-character strings unfinished. Guards
+   * against a limit on received bytes, of which such strings occupy seven times as many on the
+   * heap.
+   */
+  @Test
+  void unfinishedMessagesOfShortStringsAreBoundedByTheirHeap() throws Exception {
+    int strings = 1_100;
+    byte[] unfinished = bytes("*5000\r\n" + "$1\r\nx\r\n".repeat(strings));
+    List<RespReader> readers = new ArrayList<>();
+    int accepted = 0;
+    for (int k = 0; k < 2_000; k++) {
+      RespReader reader = reader();
+      readers.add(reader);
+      try {
+        assertNull(reader.next(ByteBuffer.wrap(unfinished)));
+        accepted++;
+      } catch (RespException e) {
+        assertEquals(RespException.Kind.TOO_LONG, e.kind());
+        reader.close();
+      }
+    }
+    readers.forEach(RespReader::close);
+    long acceptedHeapBytes = (long) accepted * strings * HEAP_BYTES_OF_SHORT_STRING;
+    assertTrue(acceptedHeapBytes <= 8 << 20, accepted + " messages accepted");
+  }
+
+  /** Guards against a complete message that is no longer counted while its caller processes it. */
+  @Test
+  void aCompleteMessageIsCountedUntilTheNextOneIsRead() throws Exception {
+    byte[] message = RespWriter.encode(Collections.nCopies(10_000, "x"));
+    RespReader reader = reader();
+    long before = UnfinishedMessageHeap.OF_THIS_PROCESS.totalBytes();
+    assertNull(reader.next(ByteBuffer.wrap(message, 0, message.length - 1)));
+    ByteBuffer end = ByteBuffer.wrap(message, message.length - 1, 1);
+    assertEquals(10_000, reader.next(end).size());
+    long whileProcessed = UnfinishedMessageHeap.OF_THIS_PROCESS.totalBytes() - before;
+    assertTrue(whileProcessed >= 9_999L * HEAP_BYTES_OF_SHORT_STRING, whileProcessed + " bytes");
+    assertNull(reader.next(end));
+    assertEquals(before, UnfinishedMessageHeap.OF_THIS_PROCESS.totalBytes());
+  }
+
   /** The limit of an unidentified connection is lower than that of a proxy, which raises it. */
   @Test
   void messageLimitIsSetPerReader() throws Exception {
