Discard a rejected message at once, not when its connection ends

Cause: a connection whose bytes are rejected is closed by the selector some time later, after it has accepted and read others. Until then its reader kept the strings, 60 KB for 8 KB received, and they counted against the limit without anything that could free them.

Change: a reader that rejects bytes closes itself, which discards its strings and ends their accounting.

--- a/src/main/java/pearusher/protocol/RespReader.java
+++ b/src/main/java/pearusher/protocol/RespReader.java
@@ -72,13 +72,23 @@
    *
    * @param source the received bytes; bytes after the message remain in the buffer
    * @return the strings of the message, or null if the message is incomplete
-   * @throws RespException if the bytes are malformed or exceed a limit; the reader must not be used
-   *     afterwards
+   * @throws RespException if the bytes are malformed or exceed a limit; the reader is closed then
    */
   public synchronized List<String> next(ByteBuffer source) throws RespException {
     if (closed) {
       source.position(source.limit());
+      return null;
     }
+    try {
+      return read(source);
+    } catch (RespException e) {
+      // The connection may be closed much later, while others take its share of the heap.
+      close();
+      throw e;
+    }
+  }
+
+  private List<String> read(ByteBuffer source) throws RespException {
     while (source.hasRemaining()) {
       boolean complete = stringLength == UNKNOWN_LENGTH ? readHeader(source) : readString(source);
       if (!complete) {
@@ -92,6 +102,11 @@
     return null;
   }
 
+  /** Returns whether some but not all bytes of a message were received. */
+  public synchronized boolean isMidMessage() {
+    return messageBytes > 0;
+  }
+
   /**
    * Updates the heap that is accounted to this reader. A complete message remains accounted until
    * the next call of {@link #next} returns null, because the caller processes it until then.
@@ -103,11 +118,6 @@
     }
   }
 
-  /** Returns whether some but not all bytes of a message were received. */
-  public synchronized boolean isMidMessage() {
-    return messageBytes > 0;
-  }
-
   private List<String> completeMessage() {
     List<String> message = List.copyOf(strings);
     discardStrings();
--- a/src/test/java/pearusher/protocol/RespReaderTest.java
+++ b/src/test/java/pearusher/protocol/RespReaderTest.java
@@ -166,6 +166,7 @@
   void unfinishedMessagesOfShortStringsAreBoundedByTheirHeap() throws Exception {
     int strings = 1_100;
     byte[] unfinished = bytes("*5000\r\n" + "$1\r\nx\r\n".repeat(strings));
+    long before = UnfinishedMessageHeap.OF_THIS_PROCESS.totalBytes();
     List<RespReader> readers = new ArrayList<>();
     int accepted = 0;
     for (int k = 0; k < 2_000; k++) {
@@ -176,12 +177,16 @@
         accepted++;
       } catch (RespException e) {
         assertEquals(RespException.Kind.TOO_LONG, e.kind());
-        reader.close();
       }
     }
-    readers.forEach(RespReader::close);
     long acceptedHeapBytes = (long) accepted * strings * HEAP_BYTES_OF_SHORT_STRING;
     assertTrue(acceptedHeapBytes <= 8 << 20, accepted + " messages accepted");
+    long retained = UnfinishedMessageHeap.OF_THIS_PROCESS.totalBytes() - before;
+    assertTrue(
+        retained <= UnfinishedMessageHeap.OF_THIS_PROCESS.limitBytes(),
+        retained + " bytes retained, those of rejected messages included");
+    readers.forEach(RespReader::close);
+    assertEquals(before, UnfinishedMessageHeap.OF_THIS_PROCESS.totalBytes());
   }
 
   /** Guards against a complete message that is no longer counted while its caller processes it. */
