Bound unread pongs and messages by their heap, not by their bytes

What callers saw: 60 connections that identified as collectors, sent pings without pause and read nothing ended the assigner with the deployed heap, java.lang.OutOfMemoryError, within 30 s (one run with a scratch client).

Cause: SendQueue closed a connection at 512 KiB of unsent message bytes. A pong has 14 bytes on the wire and 36 on the heap with its array and queue entry, and each addition queued a task for the I/O threads besides.

The limit and the line SEND_BUFFER_FULL stay.

--- a/src/main/java/pearusher/transport/StreamConnection.java
+++ b/src/main/java/pearusher/transport/StreamConnection.java
@@ -13,7 +13,6 @@
 import pearusher.protocol.MalformedMessageException;
 import pearusher.protocol.Message;
 import pearusher.protocol.MessageDecoder;
-import pearusher.protocol.MessageEncoder;
 import pearusher.protocol.RespException;
 import pearusher.protocol.RespReader;
 
@@ -215,16 +214,20 @@
 
   /** Answers all unanswered pings. */
   void sendPongs() {
-    int pendingPings = registry.resetPendingPings(entry);
-    for (int k = 0; k < pendingPings; k++) {
-      send(MessageEncoder.encodePong());
-    }
+    continueSending(sendQueue.addPongs(registry.resetPendingPings(entry)));
   }
 
   @Override
   public void send(byte[] message) {
-    Runnable next = sendQueue.add(message) ? sendQueue::iterate : this::closeOnFullSendBuffer;
-    getExecutor().execute(next);
+    continueSending(sendQueue.add(message));
+  }
+
+  private void continueSending(SendQueue.NextStep step) {
+    switch (step) {
+      case WRITE -> getExecutor().execute(sendQueue::iterate);
+      case CLOSE -> getExecutor().execute(this::closeOnFullSendBuffer);
+      case NONE -> {}
+    }
   }
 
   private void closeOnFullSendBuffer() {
