Send a reinstatement with each server that is listed after the start

What callers saw: six servers of a zone drained, were removed, and started again under their ids while the assigner was restarted once.

Cause: proxies keep ejections over streams and assigners. The policy took a server that started after this process for one that no other process can have ejected, and sent its weight without a reinstatement. The start time is that of the incarnation; the ejection is of the id, which an earlier process had ejected. The exception for returned ids knew only those that this process itself had discarded.

Change: a server that is first listed after the start is at risk for all proxies (ServerRegistry.riskOfNewServer). It costs a proxy a second line for each new server.

EjectionTest asserted that such a server needs no reinstatement, which was the fault; it now asserts the opposite for the same server, and the rest as before.

--- a/src/main/java/pearusher/policy/ServerRegistry.java
+++ b/src/main/java/pearusher/policy/ServerRegistry.java
@@ -27,12 +27,6 @@
   private final EjectionQueue ejections;
   private final Map<Long, Server> servers = new TreeMap<>();
 
-  /**
-   * Whether a removed server was ever deleted. If its number returns, proxies may still exclude it
-   * by an earlier ejection.
-   */
-  private boolean anyServerDeleted;
-
   ServerRegistry(
       PolicySettings settings,
       PolicyCommands commands,
@@ -108,12 +102,12 @@
     return server;
   }
 
-  private StaleEjectionRisk riskOfNewServer(ListUpdateKind kind, ServerEntry entry) {
-    // No other process can have ejected a server that started after this one, unless the server's
-    // number was used before.
-    if (clock.isStarted() && entry.startedUs() > clock.startedUs() && !anyServerDeleted) {
-      return StaleEjectionRisk.NONE;
-    }
+  /**
+   * Returns the risk of a server that this process lists for the first time. Its start time does
+   * not lower the risk: a server starts again under its id, and proxies exclude the id until they
+   * are told otherwise, whichever process ejected it and however long ago.
+   */
+  private static StaleEjectionRisk riskOfNewServer(ListUpdateKind kind, ServerEntry entry) {
     boolean mayHaveChanged = kind != ListUpdateKind.CACHED || entry.startedUs() > 0;
     return mayHaveChanged ? StaleEjectionRisk.ALL_PROXIES : StaleEjectionRisk.UNCONFIRMED_PROXIES;
   }
@@ -140,7 +134,6 @@
     if (expired) {
       tables.clearDueUpdates(server.id);
       commands.discardServer(server.id);
-      anyServerDeleted = true;
     }
     return expired;
   }
--- a/src/test/java/pearusher/policy/EjectionTest.java
+++ b/src/test/java/pearusher/policy/EjectionTest.java
@@ -41,13 +41,22 @@
     assertEquals(8, fixture.commands.ejected.size());
   }
 
-  /** The weight of a server that was never ejected needs no reinstatement. */
+  /** Servers that the start knows and that started long ago are no risk for confirmed proxies. */
   @Test
-  void onlyServersThatMayHaveBeenEjectedAreReported() {
+  void serversKnownAtTheStartAreAtRiskOnlyForUnconfirmedProxies() {
+    PolicyFixture fixture = PolicyFixture.started(8, 4);
+    assertEquals(8, fixture.commands.staleEjectionRisks.size());
+    assertFalse(fixture.commands.staleEjectionRisks.values().contains(true));
+  }
+
+  /**
+   * Guards against a proxy that excludes a returned server permanently: an id that is new to this
+   * instance, also one whose server started after it, may be that of a server that an earlier
+   * process or another instance has ejected.
+   */
+  @Test
+  void serversThatAreListedLaterMayBeExcludedByAllProxies() {
     PolicyFixture fixture = PolicyFixture.started(8, 4);
-    assertFalse(
-        fixture.commands.staleEjectionRisks.values().contains(true),
-        "servers that started long ago are at risk only for unconfirmed proxies");
     fixture.advance(PolicyFixture.SECOND_US);
     fixture.updateEndpoints(
         ListUpdateKind.DELTA,
@@ -56,17 +65,12 @@
             TestServers.readyServer(101, 0, 0),
             TestServers.readyServer(1, 1, fixture.nowUs),
             TestServers.serverIn(2, 0, Lifecycle.DRAINING)));
-    assertFalse(
-        fixture.commands.staleEjectionRisks.containsKey(100L),
-        "the server started after this instance");
-    for (long id : List.of(101L, 1L, 2L)) {
+    for (long id : List.of(100L, 101L, 1L, 2L)) {
       assertTrue(
-          fixture.commands.staleEjectionRisks.get(id),
-          id + ": started earlier, restarted or draining");
+          fixture.commands.staleEjectionRisks.get(id), id + ": listed later, or not ready before");
     }
     fixture.updateEndpoints(
         ListUpdateKind.DELTA, List.of(TestServers.serverIn(100, 0, Lifecycle.REMOVED)));
-    assertTrue(fixture.commands.staleEjectionRisks.get(100L));
     fixture.runPeriods(70);
     assertTrue(fixture.commands.discardedServers.contains(100L));
     fixture.updateEndpoints(
--- a/src/test/java/pearusher/server/RestartTest.java
+++ b/src/test/java/pearusher/server/RestartTest.java
@@ -9,6 +9,9 @@
 
 /** Restart of an assigner without a store. */
 class RestartTest extends LoopbackFixture {
+  /** Id of the server that starts again after the restart of the assigner. */
+  private static final String RETURNING = "s-0badcafe";
+
   /**
    * A server drains, the assigner stops, its successor starts with an older list or none, and the
    * server returns. The rejoining proxy must end up with exactly the table of the new assigner.
@@ -69,4 +72,59 @@
     assertEquals("[]", applied.ejectedServers.toString());
     rejoined.close();
   }
+
+  /**
+   * A server drains and is removed, the assigner restarts, and the server starts again under its
+   * id. Guards against a proxy that excludes the server permanently, because the new process takes
+   * a server that started after it for one that no other process has ejected.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void serverThatReturnsAfterARestartIsReinstated(boolean isJoinLate) throws Exception {
+    example
+        .with("\"reportEveryUs\": 1000000", "\"reportEveryUs\": 100000")
+        .with("\"drainGraceUs\": 3000000", "\"drainGraceUs\": 1000000");
+    AssignerServer first = start(FaastPolicy::new);
+    StubRequest watch = discovery.awaitRequest();
+    watch.startWatch();
+    watch.writeLine(TestPeers.endpointListJson(41, false));
+    AppliedUpdates applied = new AppliedUpdates(CLASSES);
+    ProxyClient stream = joinProxy(3, applied, true);
+    awaitUsable(applied, List.of("s-5be2a07c", RETURNING));
+    watch.writeLine(TestPeers.endpointListJson(42, false, returningServer("terminating", 0)));
+    TestPeers.awaitUntil(
+        "the ejection of the draining server", () -> applied.ejectedServers.contains(RETURNING));
+    first.stop();
+    servers.clear();
+    TestPeers.awaitUntil("the end of the stream", () -> stream.isEnded);
+    example.with(RETURNING, "s-00000001");
+    start(FaastPolicy::new);
+    long startedMs = System.currentTimeMillis();
+    StubRequest nextWatch = discovery.awaitRequest();
+    nextWatch.startWatch();
+    if (isJoinLate) {
+      TestPeers.awaitUntil(
+          "the end of two drain grace periods",
+          () -> System.currentTimeMillis() > startedMs + 2_000);
+    }
+    ProxyClient rejoined = joinProxy(3, applied, false);
+    awaitUsable(applied, List.of("s-00000001"));
+    nextWatch.writeLine(
+        TestPeers.endpointListJson(44, false, returningServer("in_service", startedMs + 1)));
+    awaitUsable(applied, List.of(RETURNING));
+    assertEquals(List.of(), applied.faults);
+    assertEquals("[]", applied.ejectedServers.toString());
+    rejoined.close();
+  }
+
+  private static String returningServer(String lifecycle, long startedAtMs) {
+    return TestPeers.endpointJson(RETURNING, "127.0.0.1:9", "south", lifecycle, startedAtMs);
+  }
+
+  private static void awaitUsable(AppliedUpdates applied, List<String> names)
+      throws InterruptedException {
+    TestPeers.awaitUntil(
+        "a table with usable " + names + ": " + applied.describe(),
+        () -> applied.usableWeights("order").keySet().containsAll(names));
+  }
 }
