Keep a server at risk as reinstated in the ledger, for proxies that join later

What callers would have seen: with the store on, a proxy that was told of an ejection and was away while the server was removed and started again under its id got the server's weight by the catch-up and excluded the server for good.

Cause: the ledger discards an ejection with its server, 30 drain graces after the removal or at the next start. When the id returns, a joined proxy gets the reinstatement with the weight, since the policy reports the risk; a catch-up is made from the ledger alone, which had no ejection state for the server.

Change: a risk for all proxies is recorded in the ledger: a server without a recorded ejection state is kept as reinstated, so that an unacknowledged weight brings its reinstatement. Form and keys of the stored data are unchanged.

Evidence: LedgerTest.catchUpReinstatesAServerThatReturnsAfterItsEjectionWasDiscarded fails with the change taken out and passes with it, for the running process and for the next.

--- a/src/main/java/pearusher/control/CommandDispatcher.java
+++ b/src/main/java/pearusher/control/CommandDispatcher.java
@@ -88,6 +88,9 @@
   @Override
   public void reportStaleEjectionRisk(long server, boolean allProxies) {
     tables.suspectEjection(server, allProxies);
+    if (allProxies) {
+      persistence.onStaleEjectionRisk(servers.name(server), loop.nowUs());
+    }
   }
 
   @Override
--- a/src/main/java/pearusher/control/DurablePublisher.java
+++ b/src/main/java/pearusher/control/DurablePublisher.java
@@ -178,6 +178,11 @@
     ledger.setEjected(server, isEjected, nowUs);
   }
 
+  @Override
+  public void onStaleEjectionRisk(String server, long nowUs) {
+    ledger.onStaleEjectionRisk(server, nowUs);
+  }
+
   @Override
   public void setAdmission(int table, int requestClass, AdmissionLevel level) {
     ledger.setAdmission(table, requestClass, level);
--- a/src/main/java/pearusher/control/NoPersistence.java
+++ b/src/main/java/pearusher/control/NoPersistence.java
@@ -47,6 +47,9 @@
   @Override
   public void setEjected(String server, boolean isEjected, long nowUs) {}
 
+  @Override
+  public void onStaleEjectionRisk(String server, long nowUs) {}
+
   @Override
   public void setAdmission(int table, int requestClass, AdmissionLevel level) {}
 
--- a/src/main/java/pearusher/control/Persistence.java
+++ b/src/main/java/pearusher/control/Persistence.java
@@ -73,6 +73,9 @@
   /** Records an ejection or a reinstatement. */
   void setEjected(String server, boolean isEjected, long nowUs);
 
+  /** Records that any proxy may exclude a server because of an ejection that is not recorded. */
+  void onStaleEjectionRisk(String server, long nowUs);
+
   /** Records the admission level of one request class in a table. */
   void setAdmission(int table, int requestClass, AdmissionLevel level);
 
--- a/src/main/java/pearusher/recovery/Ledger.java
+++ b/src/main/java/pearusher/recovery/Ledger.java
@@ -279,6 +279,19 @@
     currentIteration.addCommand(LedgerKey.ofEjection(server));
   }
 
+  /**
+   * Records that proxies may exclude a server because of an ejection that this ledger does not have
+   * or has discarded. A proxy that is missing the server's weight is then sent the reinstatement
+   * with it.
+   *
+   * @param nowUs Unix time in microseconds
+   */
+  public void onStaleEjectionRisk(String server, long nowUs) {
+    if (!state.ejections.containsKey(server)) {
+      setEjected(server, false, nowUs);
+    }
+  }
+
   /**
    * Binds a proxy to one table for all request classes.
    *
--- a/src/test/java/pearusher/recovery/LedgerTest.java
+++ b/src/test/java/pearusher/recovery/LedgerTest.java
@@ -137,6 +137,41 @@
     assertEquals(FIRST_ACK, recover().lastAckNumber(), "the next request has another number");
   }
 
+  /**
+   * A proxy is told of an ejection, the server is removed and discarded, and starts again under its
+   * name while the proxy is away. Guards against a rejoining proxy that gets the server's weight
+   * without its reinstatement, and excludes it permanently.
+   */
+  @Test
+  void catchUpReinstatesAServerThatReturnsAfterItsEjectionWasDiscarded() {
+    Ledger ledger = ledgerWithAcknowledgedProxy();
+    ledger.setEjected("a", true, nowUs);
+    ledger.setWeight(0, "a", 0);
+    ledger.requestAck(12);
+    ledger.onMessageSent(PROXY);
+    endIteration(ledger);
+    ledger.onAcknowledgement(PROXY, 12);
+    ledger.discardServer("a");
+    endIteration(ledger);
+    ledger.onProxyLeft(PROXY);
+    ledger.onStaleEjectionRisk("a", nowUs);
+    ledger.setWeight(0, "a", 0.2);
+    endIteration(ledger);
+    for (Ledger current : List.of(ledger, recover())) {
+      CatchUp catchUp = catchUp(current);
+      assertEquals(Map.of("a", 0.2), catchUp.weights());
+      assertEquals(Map.of("a", false), catchUp.ejections());
+    }
+  }
+
+  @Test
+  void aStaleEjectionRiskDoesNotEndAnEjectionOfThisLedger() {
+    Ledger ledger = ledgerWithAcknowledgedProxy();
+    ledger.setEjected("a", true, nowUs);
+    ledger.onStaleEjectionRisk("a", nowUs);
+    assertEquals(Set.of("a"), ledger.ejectedServers());
+  }
+
   @Test
   void startRemovesServersThatAreNotOnTheList() {
     ledgerWithAcknowledgedProxy();
