Split pruning off the ledger, and message routing off the stream connection

LedgerPruner drops the entries of removed servers; IdentifiedMessageRouter passes the messages of identified peers to the controller. What the program does is as it was: the tests of recovery, control, transport, protocol, the transcripts and ArchitectureTest pass.

--- a/src/main/java/pearusher/recovery/Ledger.java
+++ b/src/main/java/pearusher/recovery/Ledger.java
@@ -27,6 +27,7 @@
   private final LedgerState state;
   private final OutstandingAcks outstandingAcks = new OutstandingAcks();
   private final LedgerIteration currentIteration = new LedgerIteration();
+  private final LedgerPruner pruner;
   private final RecoveryTrust trust;
   private final String configuredNames;
 
@@ -50,6 +51,7 @@
       LedgerHeader stored, RecoveryTrust trust, LedgerState state, RecoveryConditions conditions) {
     this.trust = trust;
     this.state = state;
+    pruner = new LedgerPruner(state, currentIteration);
     configuredNames = conditions.configuredNames();
     hasOtherAssigners = conditions.hasOtherAssigners();
     epoch = stored.epoch() + 1;
@@ -256,13 +258,9 @@
                 currentIteration.addChange(LedgerKey.ofAdmissionLevel(number, requestClass)));
     table.admissions.clear();
     // Updates can't express the removal of an admission level, so proxies need the complete table.
-    setHistoryStart(number, table, iteration + 1);
-    currentIteration.addCommand();
-  }
-
-  private void setHistoryStart(int number, LedgerTable table, long start) {
-    table.historyStart = start;
+    table.historyStart = iteration + 1;
     currentIteration.addChange(LedgerKey.ofHistoryStart(number));
+    currentIteration.addCommand();
   }
 
   /**
@@ -354,7 +352,7 @@
       currentIteration.clear();
       return Optional.empty();
     }
-    pruneTables();
+    pruner.prune(iteration);
     timeUs = Math.max(timeUs, nowUs);
     LedgerChanges changes = collectChanges();
     currentIteration.clear();
@@ -376,34 +374,4 @@
         new LedgerChanges.Change(LedgerKey.HEADER.text(), Optional.of(LedgerCodec.encode(header))));
     return new LedgerChanges(changes);
   }
-
-  private void pruneTables() {
-    state.tables.forEach(
-        (number, table) -> {
-          if (table.needsPruning()) {
-            prune(number, table);
-          }
-        });
-  }
-
-  /**
-   * Drops the entries of removed servers that all proxies of the table have acknowledged, and the
-   * older half of them in any case. Proxies that have not acknowledged the entries of that half
-   * need the complete table when they rejoin.
-   */
-  private void prune(int number, LedgerTable table) {
-    long acknowledgedByAll =
-        state.proxies.values().stream()
-            .filter(proxy -> proxy.table() == number)
-            .mapToLong(ProxyEntry::acknowledgedIteration)
-            .min()
-            .orElse(iteration);
-    long limit = table.pruneLimit(acknowledgedByAll);
-    if (limit > acknowledgedByAll) {
-      setHistoryStart(number, table, Math.max(table.historyStart, limit));
-    }
-    for (String server : table.prune(limit)) {
-      currentIteration.addChange(LedgerKey.ofWeight(number, server));
-    }
-  }
 }
--- a/src/main/java/pearusher/transport/StreamConnection.java
+++ b/src/main/java/pearusher/transport/StreamConnection.java
@@ -59,8 +59,7 @@
   private final RespReader reader = new RespReader(MAX_UNIDENTIFIED_MESSAGE_BYTES);
   private final SendQueue sendQueue;
 
-  /** Source number of a collector's reports for fair queueing; a proxy uses its own number. */
-  private final int collectorSource;
+  private final IdentifiedMessageRouter router;
 
   /** Position in the order of accepting; threads may open connections in another order. */
   private final long acceptOrder;
@@ -79,7 +78,7 @@
     super(endPoint, executor);
     this.context = context;
     this.acceptOrder = acceptOrder;
-    this.collectorSource = collectorSource;
+    router = new IdentifiedMessageRouter(context.controller(), collectorSource);
     registry = context.registry();
     sendQueue = new SendQueue(endPoint, cause -> close(TerminationReason.ofFailure(cause)));
   }
@@ -151,7 +150,7 @@
     } else if (!entry.isIdentified()) {
       processUnidentified(message);
     } else {
-      processIdentified(message);
+      router.route(this, identity, message);
     }
   }
 
@@ -168,7 +167,7 @@
     } else if (message instanceof Message.ProxyJoin join) {
       identify(() -> onProxyJoin(join));
     } else {
-      processIdentified(message);
+      router.route(this, identity, message);
     }
   }
 
@@ -186,22 +185,6 @@
         });
   }
 
-  private void processIdentified(Message message) throws MalformedMessageException {
-    ProxyEvents controller = context.controller();
-    PeerIdentity sender = identity;
-    if (message instanceof Message.Acknowledgement ack && sender.isProxy(ack.proxy())) {
-      controller.onAcknowledgement(this, ack);
-    } else if (message instanceof Message.LoadReport report && sender.isCollector()) {
-      controller.onLoadReport(report, collectorSource);
-    } else if (message instanceof Message.UsageReport usage && sender.isCollector()) {
-      controller.onUsageReport(usage, collectorSource);
-    } else if (message instanceof Message.UsageReport usage && sender.isProxy(usage.proxy())) {
-      controller.onUsageReport(usage, usage.proxy());
-    } else {
-      throw new MalformedMessageException("message is not allowed from this sender: " + message);
-    }
-  }
-
   /** Returns whether some but not all bytes of a message were received. */
   boolean isMidMessage() {
     return reader.isMidMessage();
