--- a/review/standins-2/src/standin/Main.java
+++ b/review/standins-2/src/standin/Main.java
@@ -39,6 +39,7 @@
   private Channel channel;
   private Fleet fleet;
   private int port;
+  private int relaysAtAssigner;
   private String firstKnown;
 
   private Main(Record record, Path root, String runLine, Path directory) {
@@ -85,7 +86,7 @@
     switch (name) {
       case "replace" -> replace();
       case "zone" -> zone();
-      case "deploy" -> deploy();
+      case "single" -> single();
       case "known" -> known();
       case "cut" -> cut();
       default -> throw new IllegalArgumentException("unknown case " + name);
@@ -110,6 +111,10 @@
     String fewer = System.getenv("RELAYS");
     if (fewer != null) {
       settings.proxies = Integer.parseInt(fewer);
+      relaysAtAssigner = settings.proxies;
+    }
+    if (relaysAtAssigner == 0) {
+      relaysAtAssigner = settings.proxies;
     }
     discovery = new Discovery(settings, record);
     for (int k = 0; k < servers; k++) {
@@ -137,7 +142,7 @@
             });
     channel = new Channel(settings, record, executor);
     reports = new Reports(settings, record, relays, port);
-    for (int k = 0; k < settings.proxies; k++) {
+    for (int k = 0; k < relaysAtAssigner; k++) {
       relays.add(new Relay(k, k % settings.zones, settings, record, channel));
     }
     fleet = new Fleet(settings, record, discovery, assigner, relays, reports, channel);
@@ -205,31 +210,28 @@
     sleep(32);
   }
 
-  /** A rolling deploy: 60 of 84 servers in 28 s, 12 at a time, each listed up to seconds late. */
-  private void deploy() throws Exception {
-    settings.proxies = 148;
-    settings.requestsPerRelay = 7;
+  /**
+   * All 400 relays of two assigners come to one of them, since the other is down, and two servers
+   * drain and end. Without the disruption only half of the relays come to it.
+   */
+  private void single() throws Exception {
+    settings.zones = 2;
+    settings.assigners = 2;
+    settings.proxies = 400;
+    settings.requestsPerRelay = 2;
     settings.channelRate = 3400;
-    setUp(84, false);
-    sleep(12);
-    if (trouble) {
-      for (int step = 0; step < 5; step++) {
-        for (int k = 0; k < 12; k++) {
-          Server old = initial.get(12 * step + k);
-          double lateSeconds = 0.2 + 2.3 * random.nextDouble();
-          Threads.start(
-              "replacement",
-              () -> {
-                sleep(lateSeconds);
-                replaceOne(old, 0);
-              });
-        }
-        sleep(5.6);
-      }
-    } else {
-      sleep(28);
-    }
-    sleep(15);
+    settings.transitUs = 294_000;
+    settings.pushDelayMaxUs = 735_000;
+    settings.drainGraceUs = 3_000_000;
+    settings.reportEveryUs = 1_000_000;
+    relaysAtAssigner = trouble ? 400 : 200;
+    setUp(30, false);
+    sleep(14);
+    List<Server> ending = List.of(initial.get(0), initial.get(1));
+    discovery.change(ending, Server.DRAINING);
+    sleep(6);
+    discovery.change(ending, Server.REMOVED);
+    sleep(14);
   }
 
   /**
--- a/review/standins-2/src/standin/Settings.java
+++ b/review/standins-2/src/standin/Settings.java
@@ -9,6 +9,7 @@
 
   int zones = 4;
   int proxies = 12;
+  int assigners = 1;
   double channelRate = 2900;
   int fixedCost = 10;
   long transitUs = 235_000;
@@ -42,7 +43,7 @@
         + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\n"
         + "\"known\":" + known + ",\n"
         + "\"settings\":{\"azs\":[" + azs + "],\"kinds\":[\"m\"],\"zone\":0,\"myNumber\":0,"
-        + "\"replicasOfMe\":1,\"tickUs\":5000,\"discovery\":\"on_request\",\"weightKind\":\"off\","
+        + "\"replicasOfMe\":" + assigners + ",\"tickUs\":5000,\"discovery\":\"on_request\",\"weightKind\":\"off\","
         + "\"countedBy\":\"request\",\"report\":{\"source\":\"off\",\"fields\":[]},\n"
         + "\"grades\":["
         + grade(CLASSES.get(0), "retryable", 1) + "," + grade(CLASSES.get(1), "fragile", 3) + "],\n"
