--- a/review/standins-2/src/standin/Channel.java
+++ b/review/standins-2/src/standin/Channel.java
@@ -40,12 +40,6 @@
     executor.schedule(delivery, delayUs, TimeUnit.MICROSECONDS);
   }
 
-  /** Empties the queue, as when the assigner ends. */
-  synchronized void reset() {
-    waiting.clear();
-    freeAtUs = 0;
-  }
-
   /** Returns the messages and lines since the last call, and the most lines that ever waited. */
   synchronized String summary() {
     String text =
--- a/review/standins-2/src/standin/Discovery.java
+++ b/review/standins-2/src/standin/Discovery.java
@@ -130,15 +130,6 @@
     silent = isSilent;
   }
 
-  /** Forgets what was told, as for an assigner that starts again with the given known list. */
-  synchronized void forgetTold(Iterable<String> known) {
-    toldNotReadyUs.clear();
-    toldReady.clear();
-    for (String id : known) {
-      toldReady.put(id, servers.get(id).startedUs);
-    }
-  }
-
   /** Returns when the assigner was told that the server is draining or gone; null if it was not. */
   synchronized Long toldNotReady(String id) {
     return toldNotReadyUs.get(id);
--- a/review/standins-2/src/standin/Main.java
+++ b/review/standins-2/src/standin/Main.java
@@ -40,7 +40,6 @@
   private Fleet fleet;
   private int port;
   private int relaysAtAssigner;
-  private String firstKnown;
 
   private Main(Record record, Path root, String runLine, Path directory) {
     this.record = record;
@@ -87,7 +86,7 @@
       case "replace" -> replace();
       case "zone" -> zone();
       case "single" -> single();
-      case "known" -> known();
+      case "deploy" -> deploy();
       case "cut" -> cut();
       default -> throw new IllegalArgumentException("unknown case " + name);
     }
@@ -130,8 +129,7 @@
       port = free.getLocalPort();
     }
     assigner = new Assigner(record, root, runLine, directory, port, discoveryPort);
-    firstKnown = discovery.completeList();
-    assigner.start(settings, firstKnown, random.nextLong() >>> 1);
+    assigner.start(settings, discovery.completeList(), random.nextLong() >>> 1);
     ScheduledExecutorService executor =
         Executors.newScheduledThreadPool(
             2,
@@ -234,30 +232,31 @@
     sleep(14);
   }
 
-  /**
-   * The assigner is killed and starts again with an old list, as servers end. With the environment
-   * variable KNOWN=last the list is the one that it had last, for comparison.
-   */
-  private void known() throws Exception {
-    setUp(24, false);
-    sleep(3);
-    List<Server> added = List.of(startNew(0), startNew(1));
-    sleep(25);
-    String known = "last".equals(System.getenv("KNOWN")) ? discovery.completeList() : firstKnown;
-    if (trouble) {
-      assigner.kill();
-      channel.reset();
-      reports.reconnect();
-    }
-    sleep(0.5);
-    discovery.change(added, Server.DRAINING);
-    sleep(2.5);
-    discovery.change(added, Server.REMOVED);
+  /** A rolling deploy: 60 of 84 servers in 28 s, 12 at a time, each listed up to seconds late. */
+  private void deploy() throws Exception {
+    settings.proxies = 148;
+    settings.requestsPerRelay = 7;
+    settings.channelRate = 3400;
+    setUp(84, false);
+    sleep(12);
     if (trouble) {
-      discovery.forgetTold(initial.stream().map(server -> server.id).toList());
-      assigner.start(settings, known, random.nextLong() >>> 1);
+      for (int step = 0; step < 5; step++) {
+        for (int k = 0; k < 12; k++) {
+          Server old = initial.get(12 * step + k);
+          double lateSeconds = 0.2 + 2.3 * random.nextDouble();
+          Threads.start(
+              "replacement",
+              () -> {
+                sleep(lateSeconds);
+                replaceOne(old, 0);
+              });
+        }
+        sleep(5.6);
+      }
+    } else {
+      sleep(28);
     }
-    sleep(14);
+    sleep(15);
   }
 
   /** The path to discovery is cut for 6 s; two servers drain as the cut begins. */
--- a/review/standins-2/src/standin/Reports.java
+++ b/review/standins-2/src/standin/Reports.java
@@ -120,18 +120,4 @@
       collectors[zone] = null;
     }
   }
-
-  /** Closes the collectors' connections, which were reset as the assigner ended. */
-  synchronized void reconnect() {
-    for (int zone = 0; zone < collectors.length; zone++) {
-      try {
-        if (collectors[zone] != null) {
-          collectors[zone].close();
-        }
-      } catch (IOException e) {
-        // It is closed.
-      }
-      collectors[zone] = null;
-    }
-  }
 }
