Review: pick the assigner's port below the range of outgoing connections

A free port of the ephemeral range could be taken by another connection before the assigner listens, and the case could not run then.

--- a/review/standins-2/src/standin/Main.java
+++ b/review/standins-2/src/standin/Main.java
@@ -1,5 +1,7 @@
 package standin;
 
+import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -125,9 +127,7 @@
       link = new CuttableLink(discoveryPort, record);
       discoveryPort = link.port();
     }
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      port = free.getLocalPort();
-    }
+    port = freePort();
     assigner = new Assigner(record, root, runLine, directory, port, discoveryPort);
     assigner.start(settings, discovery.completeList(), random.nextLong() >>> 1);
     ScheduledExecutorService executor =
@@ -149,6 +149,20 @@
     fleet.start();
   }
 
+  /** Returns a free port below the usual range of outgoing connections, which could take it. */
+  private int freePort() throws IOException {
+    for (int attempt = 0; attempt < 100; attempt++) {
+      int candidate = 20_000 + random.nextInt(10_000);
+      try (ServerSocket free =
+          new ServerSocket(candidate, 1, InetAddress.getByName("127.0.0.1"))) {
+        return free.getLocalPort();
+      } catch (BindException e) {
+        // It is taken.
+      }
+    }
+    throw new IOException("no free port was found");
+  }
+
   private String id() {
     return String.format("s-%08x", random.nextInt());
   }
