Policy: use StrictMath, whose results are the same on every kind of machine

PolicyHistoryTest failed on arm64 in 2 of 34 histories, 3 of 3 times: Math.pow may differ by a unit in the last place from machine to machine, so two assigners could publish weights that differ in their last digit. Math.pow and Math.cbrt are StrictMath in the five places that use them.

--- a/src/main/java/pearusher/policy/LocalityPreference.java
+++ b/src/main/java/pearusher/policy/LocalityPreference.java
@@ -103,7 +103,8 @@
     if (clock.periodsWithReports() == 0) {
       long ownProxies = fleet.proxies().all().stream().filter(proxy -> proxy.zone == zone).count();
       long size = Math.max(1, Math.min(ownServers, ownProxies));
-      table.localityPreference = Math.max(0, 1 - Math.pow(MAX_SIZE_WITHOUT_PREFERENCE / size, 2));
+      table.localityPreference =
+          Math.max(0, 1 - StrictMath.pow(MAX_SIZE_WITHOUT_PREFERENCE / size, 2));
     } else if (table.plannedShares.isEmpty()) {
       table.localityPreference =
           fleet.tables().all().values().stream()
--- a/src/main/java/pearusher/policy/OutlierDetector.java
+++ b/src/main/java/pearusher/policy/OutlierDetector.java
@@ -29,7 +29,7 @@
     double exponent = 1 + Math.max(0, 1 - medianShare / OverloadDetector.OVERLOAD_FAILURE_SHARE);
     for (Server server : servers) {
       double excess = Math.max(0, Math.min(1, server.failureShare - medianShare));
-      server.healthFactor = Math.max(MIN_HEALTH_FACTOR, Math.pow(1 - excess, exponent));
+      server.healthFactor = Math.max(MIN_HEALTH_FACTOR, StrictMath.pow(1 - excess, exponent));
       updateState(server);
     }
   }
--- a/src/main/java/pearusher/policy/OverloadDetector.java
+++ b/src/main/java/pearusher/policy/OverloadDetector.java
@@ -197,7 +197,8 @@
         meanUtilization < TARGET_UTILIZATION,
         false,
         neededCut,
-        Math.min(ADMITTED_SHARE_GROWTH_FACTOR, Math.cbrt(TARGET_UTILIZATION / meanUtilization)),
+        Math.min(
+            ADMITTED_SHARE_GROWTH_FACTOR, StrictMath.cbrt(TARGET_UTILIZATION / meanUtilization)),
         settings.controlPeriodUs() + channel.drainTimeUs() / CUT_EFFECT_DELAY_FACTOR);
   }
 
--- a/src/main/java/pearusher/policy/ReportDecay.java
+++ b/src/main/java/pearusher/policy/ReportDecay.java
@@ -15,6 +15,6 @@
    * time 0 to 0.
    */
   static double factor(double elapsedUs, long controlPeriodUs) {
-    return Math.pow(0.5, elapsedUs / (HALF_LIFE_PERIODS * controlPeriodUs));
+    return StrictMath.pow(0.5, elapsedUs / (HALF_LIFE_PERIODS * controlPeriodUs));
   }
 }
--- a/src/main/java/pearusher/policy/SlowStartBudget.java
+++ b/src/main/java/pearusher/policy/SlowStartBudget.java
@@ -70,7 +70,7 @@
         fullCapacitySucceeded
             / fullCapacityServers.size()
             / total(servers, server -> server.succeededAttempts() + server.failedAttempts())
-            * Math.pow(success, SUCCESS_EXPONENT);
+            * StrictMath.pow(success, SUCCESS_EXPONENT);
     double cut = 0;
     for (Server server : servers) {
       cut += server.capShare(maxShare(server, fullCapacityShare));
