Policy: send changes that exceed the limit of their priority by themselves

Cause: the subscribers of a table get a change together, so the budget takes the lines of all of them or none. The limit of deferrable weights is 264 lines there, and one new server costs 25 subscribers 325. No state of the channel admits that; it was retried for ever, in silence.

Change: what exceeds the limit of its priority by itself is accepted while the channel is nearly idle, with further lines for the same proxies up to twice the overhead and 0.3 of the grace. The bound of 0.95 of the queue on unacknowledged lines stays. What exceeds that is logged.

--- a/src/main/java/pearusher/policy/ChannelBudget.java
+++ b/src/main/java/pearusher/policy/ChannelBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -12,15 +13,6 @@
  * number of unacknowledged updates times the recipients of each.
  */
 final class ChannelBudget {
-  /**
-   * Backlog below which the channel is nearly idle, as a share of the deferrable limit divided by
-   * the deferrable priority's backlog share.
-   */
-  private static final double NEARLY_IDLE_SHARE = 0.1;
-
-  /** Share of the backlog limit that may be in transit without an acknowledgement. */
-  private static final double MAX_UNACKNOWLEDGED_SHARE = 0.95;
-
   /**
    * Lower bound of the channel's rate without acknowledgements, as a share of the estimated rate.
    */
@@ -89,6 +81,9 @@
   /** Estimated rate, as a share of the configured rate. */
   private double rateShare = 1;
 
+  /** Number of refused updates that exceed the channel even while it is idle. */
+  private long oversizedUpdates;
+
   ChannelBudget(ChannelSettings channel, ChannelLimits limits, PolicyCommands commands) {
     this.channel = channel;
     this.limits = limits;
@@ -174,7 +169,9 @@
 
   /**
    * Reserves lines for each of the proxies if all of them fit within the limits of the priority. A
-   * proxy without lines in this update is also charged the fixed lines of a message.
+   * proxy without lines in this update is also charged the fixed lines of a message. Lines that
+   * exceed the limits of the priority by themselves fit while the channel is nearly idle; lines
+   * that exceed the channel by themselves never fit, which is logged.
    *
    * @return whether the lines were reserved
    */
@@ -184,7 +181,8 @@
         proxies.stream()
             .mapToDouble(id -> linesEach + (currentLines.containsKey(id) ? 0 : overhead))
             .sum();
-    if (!fits(cost, priority)) {
+    if (!fits(cost, limits.maxBacklogLines(priority, proxies.size(), linesEach))) {
+      logIfOversized(proxies.size(), linesEach);
       return false;
     }
     backlogLines += cost;
@@ -194,15 +192,37 @@
     return true;
   }
 
+  private void logIfOversized(int proxies, double linesEach) {
+    if (!limits.exceedsChannel(proxies, linesEach)) {
+      return;
+    }
+    oversizedUpdates++;
+    if (Long.bitCount(oversizedUpdates) == 1) {
+      commands.log(
+          String.format(
+              Locale.ROOT,
+              "update channel too small: %d updates deferred so far, the last: %.0f lines for %d"
+                  + " proxies, of %.0f that the channel holds",
+              oversizedUpdates,
+              limits.updateLines(proxies, linesEach),
+              proxies,
+              limits.maxUnacknowledgedLines()));
+    }
+  }
+
   /** Returns whether the channel accepts this many lines at the priority. */
   boolean fits(double lines, ChannelPriority priority) {
+    return fits(lines, limits.maxBacklogLines(priority));
+  }
+
+  private boolean fits(double lines, double maxBacklogLines) {
     if (lines <= 0) {
       return true;
     }
     // The channel may be slower than configured; acknowledgements show this only later.
     double unacknowledged = Math.min(pessimisticBacklogLines, reservedLines - deliveredLines);
-    return backlogLines + lines <= limits.maxBacklogLines(priority)
-        && unacknowledged + lines <= MAX_UNACKNOWLEDGED_SHARE * channel.maxBacklogLines();
+    return backlogLines + lines <= maxBacklogLines
+        && unacknowledged + lines <= limits.maxUnacknowledgedLines();
   }
 
   /** Returns the estimated time until the backlog has drained, in microseconds. */
@@ -219,9 +239,7 @@
    * overhead.
    */
   boolean isNearlyIdle() {
-    ChannelPriority deferrable = ChannelPriority.DEFERRABLE;
-    return backlogLines
-        < NEARLY_IDLE_SHARE * limits.maxBacklogLines(deferrable) / deferrable.backlogShare;
+    return backlogLines < limits.nearlyIdleLines();
   }
 
   /** Returns whether the update being composed already has lines. */
--- a/src/main/java/pearusher/policy/ChannelLimits.java
+++ b/src/main/java/pearusher/policy/ChannelLimits.java
@@ -16,6 +16,21 @@
 
   private static final double MAX_DRAIN_GRACE_SHARE = 0.3;
 
+  /** Share of the backlog limit that may be in transit without an acknowledgement. */
+  private static final double MAX_UNACKNOWLEDGED_SHARE = 0.95;
+
+  /**
+   * Largest size of messages that are accepted beyond the limit of their priority, in multiples of
+   * their overhead.
+   */
+  private static final double MAX_LINES_PER_OVERHEAD_LINE = 2;
+
+  /**
+   * Backlog below which the channel is nearly idle, as a share of the deferrable limit divided by
+   * the deferrable priority's backlog share.
+   */
+  private static final double NEARLY_IDLE_SHARE = 0.1;
+
   /** Messages per proxy, and lines besides admission levels, when all proxies join at once. */
   private static final double MESSAGES_PER_JOIN = 2.5;
 
@@ -54,6 +69,60 @@
         drainGraceShare(priority) * drainGraceLines());
   }
 
+  /**
+   * Returns the largest backlog up to which an update is accepted, in lines. An update that exceeds
+   * the limit of its priority by itself would never be sent: it is accepted while the channel is
+   * nearly idle, together with further lines for the same proxies, which share its messages.
+   *
+   * @param proxies number of proxies that receive the update
+   * @param linesEach content lines for each proxy
+   */
+  double maxBacklogLines(ChannelPriority priority, int proxies, double linesEach) {
+    double priorityLimit = maxBacklogLines(priority);
+    if (fitsIdleChannel(priority, proxies, linesEach)) {
+      return priorityLimit;
+    }
+    double overheadLines = proxies * (channel.messageOverheadLines() + 1);
+    double sharedMessageLines =
+        Math.min(MAX_LINES_PER_OVERHEAD_LINE * overheadLines, maxSharedMessageLines(priority));
+    return Math.max(updateLines(proxies, linesEach) + nearlyIdleLines(), sharedMessageLines);
+  }
+
+  private double maxSharedMessageLines(ChannelPriority priority) {
+    return Math.min(
+        priority.backlogShare * channel.maxBacklogLines(),
+        MAX_DRAIN_GRACE_SHARE * drainGraceLines());
+  }
+
+  /** Returns whether an update is within the limit of its priority while the channel is idle. */
+  boolean fitsIdleChannel(ChannelPriority priority, int proxies, double linesEach) {
+    return updateLines(proxies, linesEach) <= maxBacklogLines(priority);
+  }
+
+  /** Returns whether an update exceeds what the channel may hold, whatever its priority. */
+  boolean exceedsChannel(int proxies, double linesEach) {
+    return updateLines(proxies, linesEach) > maxUnacknowledgedLines();
+  }
+
+  /** Returns the lines of an update to proxies that get no other lines at the same time. */
+  double updateLines(int proxies, double linesEach) {
+    return proxies * (linesEach + channel.messageOverheadLines() + 1);
+  }
+
+  /** Returns the largest number of lines that may be in transit without an acknowledgement. */
+  double maxUnacknowledgedLines() {
+    return MAX_UNACKNOWLEDGED_SHARE * channel.maxBacklogLines();
+  }
+
+  /**
+   * Returns the backlog below which the channel is nearly idle, in lines: messages up to the
+   * deferrable limit then justify their overhead.
+   */
+  double nearlyIdleLines() {
+    ChannelPriority deferrable = ChannelPriority.DEFERRABLE;
+    return NEARLY_IDLE_SHARE * maxBacklogLines(deferrable) / deferrable.backlogShare;
+  }
+
   private double drainGraceShare(ChannelPriority priority) {
     return switch (priority) {
       case EJECTION -> priority.backlogShare;
--- a/src/test/java/pearusher/policy/ChannelBudgetTest.java
+++ b/src/test/java/pearusher/policy/ChannelBudgetTest.java
@@ -6,6 +6,8 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -101,4 +103,47 @@
     channel.onAcknowledgement(1, 1, SECOND_US / 2);
     assertTrue(channel.fits(226, ChannelPriority.EJECTION));
   }
+
+  private static List<Integer> proxies(int count) {
+    return IntStream.range(0, count).boxed().toList();
+  }
+
+  /**
+   * Guards against updates to the proxies of a large table that are deferred for ever: 30 proxies
+   * with one line each take 330 lines, over the limit of 250 on an idle channel.
+   */
+  @Test
+  void linesThatExceedTheLimitByThemselvesFitANearlyIdleChannel() {
+    channel.beginUpdate(0);
+    assertTrue(channel.reserve(List.of(40), 41, ChannelPriority.DEFERRABLE));
+    assertFalse(channel.reserve(proxies(30), 1, ChannelPriority.DEFERRABLE), "51 lines wait");
+    channel.beginUpdate(SECOND_US);
+    assertTrue(channel.reserve(proxies(30), 1, ChannelPriority.DEFERRABLE));
+    assertTrue(
+        channel.reserve(proxies(30), 1, ChannelPriority.DEFERRABLE),
+        "a further line shares the messages");
+    assertFalse(channel.reserve(proxies(30), 1, ChannelPriority.DEFERRABLE));
+    assertFalse(channel.reserve(List.of(40), 1, ChannelPriority.DEFERRABLE), "no small update");
+    assertEquals(2 * 30 + 300, channel.backlogLines());
+  }
+
+  /** Guards against silence about updates that no channel state admits. */
+  @Test
+  void linesThatExceedTheChannelAreNotReservedAndLogged() {
+    channel.beginUpdate(0);
+    for (int attempt = 0; attempt < 5; attempt++) {
+      assertFalse(channel.reserve(proxies(44), 1, ChannelPriority.EJECTION));
+    }
+    assertEquals(0, channel.backlogLines());
+    assertEquals(
+        Stream.of(1, 2, 4)
+            .map(
+                count ->
+                    "log[update channel too small: "
+                        + count
+                        + " updates deferred so far, the last: 484 lines for 44 proxies, of 475"
+                        + " that the channel holds]")
+            .toList(),
+        log.lines);
+  }
 }
