Policy: publish ejections and reinstatements table by table where all at once never fit

All else waits for ejections.

Change: where one line to each receiver exceeds the limit, the server leaves the tables one after the other, all pending ejections of a table in one message. A reinstatement follows once no table lists it. An ejection that exceeds the whole queue is logged and no longer stops the other changes. Messages beyond the limit may hold a quarter more lines than their smallest form: at 200 subscribers each message had carried a single weight.

--- a/src/main/java/pearusher/policy/ChannelLimits.java
+++ b/src/main/java/pearusher/policy/ChannelLimits.java
@@ -25,6 +25,12 @@
    */
   private static final double MAX_LINES_PER_OVERHEAD_LINE = 2;
 
+  /**
+   * Size of such messages that is accepted whatever part of a drain grace period they take, in
+   * multiples of the update that exceeds the limit by itself.
+   */
+  private static final double MAX_LINES_PER_LINE = 1.25;
+
   /**
    * Backlog below which the channel is nearly idle, as a share of the deferrable limit divided by
    * the deferrable priority's backlog share.
@@ -83,9 +89,12 @@
       return priorityLimit;
     }
     double overheadLines = proxies * (channel.messageOverheadLines() + 1);
+    double updateLines = updateLines(proxies, linesEach);
     double sharedMessageLines =
-        Math.min(MAX_LINES_PER_OVERHEAD_LINE * overheadLines, maxSharedMessageLines(priority));
-    return Math.max(updateLines(proxies, linesEach) + nearlyIdleLines(), sharedMessageLines);
+        Math.min(
+            MAX_LINES_PER_OVERHEAD_LINE * overheadLines,
+            Math.max(maxSharedMessageLines(priority), MAX_LINES_PER_LINE * updateLines));
+    return Math.max(updateLines + nearlyIdleLines(), sharedMessageLines);
   }
 
   private double maxSharedMessageLines(ChannelPriority priority) {
@@ -104,6 +113,12 @@
     return updateLines(proxies, linesEach) > maxUnacknowledgedLines();
   }
 
+  /** Returns the content lines for each of some proxies that the channel may hold; at least 1. */
+  long maxLinesEach(int proxies) {
+    double linesEach = maxUnacknowledgedLines() / Math.max(1, proxies) - messageLines(1) + 1;
+    return (long) Math.max(1, linesEach);
+  }
+
   /** Returns the lines of an update to proxies that get no other lines at the same time. */
   double updateLines(int proxies, double linesEach) {
     return proxies * (linesEach + channel.messageOverheadLines() + 1);
--- a/src/main/java/pearusher/policy/EjectionPublisher.java
+++ b/src/main/java/pearusher/policy/EjectionPublisher.java
@@ -51,7 +51,9 @@
   boolean publish(long nowUs) {
     double costLines = costLines();
     boolean late = isLate(nowUs, costLines);
-    if (isPublicationDue(costLines, late)) {
+    if (!surge.isActive() && ejections.anyEjection(this::exceedsIdleChannel)) {
+      publishByTable();
+    } else if (isPublicationDue(costLines, late)) {
       ejections.publishEjections(this::publishOne);
     }
     return late;
@@ -94,39 +96,61 @@
         || ((many || late) && channel.fits(costLines, PRIORITY));
   }
 
+  /**
+   * Publishes one ejection. During a join surge the server is removed from the published tables
+   * instead, since joining proxies are bound before they need ejections.
+   */
   private boolean publishOne(long server) {
-    return surge.isActive() ? removeFromTables(server) : eject(server);
+    return surge.isActive() ? weights.removeFromTables(server, PRIORITY) : eject(server);
+  }
+
+  private boolean exceedsIdleChannel(long server) {
+    return !channel.limits().fitsIdleChannel(PRIORITY, recipients(server).size(), 1);
   }
 
   /**
-   * Removes the server from the published tables, instead of an ejection, during a join surge.
-   * Joining proxies are bound before they need ejections.
+   * Removes the servers of all pending ejections from the published tables, one table at a time,
+   * since one line to all proxies that may use a server exceeds the limit. What is left of the
+   * ejections goes to proxies that are not bound to a table.
    */
-  private boolean removeFromTables(long server) {
-    fleet
-        .tables()
-        .all()
-        .forEach(
-            (number, table) -> {
-              if (table.lists(server) && channel.reserve(table.subscribers, 1, PRIORITY)) {
-                weights.setWeight(number, table, server, 0);
-              }
-            });
-    return !fleet.tables().isPublished(server);
+  private void publishByTable() {
+    fleet.tables().all().forEach(this::removeEjected);
+    ejections.publishEjections(server -> !fleet.tables().isPublished(server) && eject(server));
   }
 
-  private boolean eject(long server) {
-    List<Integer> recipients =
-        fleet.proxies().byId().keySet().stream()
-            .filter(id -> mayUse(fleet.proxies().get(id), server))
+  private void removeEjected(int tableNumber, ZoneTable table) {
+    int proxies = table.subscribers.size();
+    List<Long> ejected =
+        ejections.ejected().stream()
+            .filter(table::lists)
+            .limit(channel.limits().maxLinesEach(proxies))
             .toList();
-    boolean fits = channel.reserve(recipients, 1, PRIORITY);
+    if (!ejected.isEmpty() && channel.reserve(table.subscribers, ejected.size(), PRIORITY)) {
+      ejected.forEach(server -> weights.setWeight(tableNumber, table, server, 0));
+    }
+  }
+
+  /** Ejects a server at all proxies that may use it. */
+  private boolean eject(long server) {
+    boolean fits = channel.reserve(recipients(server), 1, PRIORITY);
     if (fits) {
       commands.eject(server);
     }
     return fits;
   }
 
+  /** Returns whether a pending ejection waits for the channel to drain. */
+  boolean isAnyWaitingForChannel() {
+    return ejections.anyEjection(
+        server -> !channel.limits().exceedsChannel(recipients(server).size(), 1));
+  }
+
+  private List<Integer> recipients(long server) {
+    return fleet.proxies().byId().keySet().stream()
+        .filter(id -> mayUse(fleet.proxies().get(id), server))
+        .toList();
+  }
+
   private boolean mayUse(ProxyState proxy, long server) {
     return !proxy.subscribed || fleet.tables().get(proxy.table).lists(server);
   }
--- a/src/main/java/pearusher/policy/EjectionQueue.java
+++ b/src/main/java/pearusher/policy/EjectionQueue.java
@@ -1,6 +1,7 @@
 package pearusher.policy;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -76,6 +77,16 @@
     return ejections.stream().filter(filter::test).count();
   }
 
+  /** Returns the servers whose ejections are pending, oldest first; not to be modified. */
+  Set<Long> ejected() {
+    return Collections.unmodifiableSet(ejections);
+  }
+
+  /** Returns whether any pending ejection matches. */
+  boolean anyEjection(LongPredicate filter) {
+    return ejections.stream().anyMatch(filter::test);
+  }
+
   OptionalLong oldestEjection() {
     return ejections.stream().mapToLong(Long::longValue).findFirst();
   }
--- a/src/main/java/pearusher/policy/FaastPolicy.java
+++ b/src/main/java/pearusher/policy/FaastPolicy.java
@@ -261,6 +261,6 @@
     outliers.update(scope.servers());
     tables.zonesInScope().forEach(weightCalculator::recompute);
     subsets.update();
-    weightPublisher.onRecomputed();
+    weightPublisher.requestPublication();
   }
 }
--- a/src/main/java/pearusher/policy/ReinstatementPublisher.java
+++ b/src/main/java/pearusher/policy/ReinstatementPublisher.java
@@ -10,6 +10,8 @@
   /** Lines per proxy: the reinstatement and the weight. */
   private static final int LINES_PER_PROXY = 2;
 
+  private static final ChannelPriority PRIORITY = ChannelPriority.REINSTATEMENT;
+
   private final PolicyCommands commands;
   private final FleetState fleet;
   private final ChannelBudget channel;
@@ -35,7 +37,11 @@
   }
 
   private boolean publish(Server server) {
-    if (!channel.reserve(recipients(server), LINES_PER_PROXY, ChannelPriority.REINSTATEMENT)) {
+    Collection<Integer> recipients = recipients(server);
+    if (!channel.limits().fitsIdleChannel(PRIORITY, recipients.size(), LINES_PER_PROXY)) {
+      return publishByTable(server);
+    }
+    if (!channel.reserve(recipients, LINES_PER_PROXY, PRIORITY)) {
       return false;
     }
     fleet
@@ -51,6 +57,21 @@
     return true;
   }
 
+  /**
+   * Removes the server from all published tables, one table at a time, and reinstates it then. The
+   * tables list it again as part of their next changes, each with the reinstatement.
+   */
+  private boolean publishByTable(Server server) {
+    boolean published =
+        weights.removeFromTables(server.id, PRIORITY)
+            && channel.reserve(unboundProxies(), LINES_PER_PROXY, PRIORITY);
+    if (published) {
+      commands.reinstate(server.id);
+      weights.requestPublication();
+    }
+    return published;
+  }
+
   /**
    * Returns the proxies that need the reinstatement. If no table lists the server, only proxies
    * that are not bound to a table may exclude it.
@@ -58,8 +79,10 @@
   private Collection<Integer> recipients(Server server) {
     boolean isListed =
         fleet.scope().isOutdated() || server.inScope || fleet.tables().isPublished(server.id);
-    return isListed
-        ? fleet.proxies().byId().keySet()
-        : fleet.proxies().oldestFirst(proxy -> !proxy.subscribed);
+    return isListed ? fleet.proxies().byId().keySet() : unboundProxies();
+  }
+
+  private Collection<Integer> unboundProxies() {
+    return fleet.proxies().oldestFirst(proxy -> !proxy.subscribed);
   }
 }
--- a/src/main/java/pearusher/policy/UpdatePublisher.java
+++ b/src/main/java/pearusher/policy/UpdatePublisher.java
@@ -77,7 +77,12 @@
     // Binds of a join surge are published first, since a bound proxy needs fewer ejections.
     boolean complete = !surge.isActive() || binder.bindWaiting();
     publishEjections(nowUs);
-    complete &= !ejections.hasEjections() && publishDeferrable();
+    // An ejection that exceeds the channel may fit once more proxies are bound.
+    if (ejectionPublisher.isAnyWaitingForChannel()) {
+      complete = false;
+    } else {
+      complete &= publishDeferrable() && !ejections.hasEjections();
+    }
     if (!complete) {
       scheduleRetry();
     }
--- a/src/main/java/pearusher/policy/WeightPublisher.java
+++ b/src/main/java/pearusher/policy/WeightPublisher.java
@@ -18,7 +18,7 @@
   private final ChannelBudget channel;
   private final EjectionQueue ejections;
 
-  /** Whether tables were recomputed and not all of their changes have been published. */
+  /** Whether changes of tables may be due that have not been published. */
   private boolean pending;
 
   /**
@@ -39,7 +39,8 @@
     this.ejections = ejections;
   }
 
-  void onRecomputed() {
+  /** Requests the publication of all changes of tables that are due. */
+  void requestPublication() {
     pending = true;
   }
 
@@ -123,6 +124,24 @@
     return fits;
   }
 
+  /**
+   * Removes a server from the published tables, as far as the removals fit into the channel.
+   *
+   * @return whether no published table lists the server
+   */
+  boolean removeFromTables(long server, ChannelPriority priority) {
+    fleet
+        .tables()
+        .all()
+        .forEach(
+            (number, table) -> {
+              if (table.lists(server) && channel.reserve(table.subscribers, 1, priority)) {
+                setWeight(number, table, server, 0);
+              }
+            });
+    return !fleet.tables().isPublished(server);
+  }
+
   /** Sets a weight for which lines are reserved; 0 removes the entry. */
   void setWeight(int tableNumber, ZoneTable table, long server, double weight) {
     boolean unchanged = weight == table.publishedWeight(server);
--- a/src/test/java/pearusher/policy/LargeUpdateTest.java
+++ b/src/test/java/pearusher/policy/LargeUpdateTest.java
@@ -1,7 +1,9 @@
 package pearusher.policy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -9,6 +11,7 @@
 /** Updates of which a single line to all receivers exceeds the limit of its priority. */
 class LargeUpdateTest {
   private static final double EMPTY_TABLE_LIMIT_S = 3;
+  private static final Set<Long> RETURNED_ZONE = Set.of(4L, 8L, 12L, 16L, 20L, 24L, 28L);
 
   /**
    * Returns a started harness of four zones with 30 servers and 25 proxies each, whose channel
@@ -29,6 +32,20 @@
     return started(settings, 2900, 4, proxiesPerZone);
   }
 
+  /**
+   * Returns a started harness of a few zones with 400 proxies in all. One line to all of them takes
+   * 4,800 lines of the channel, and ejections may use 4,590.
+   */
+  private static ProxyTierHarness fourHundredProxies(int zones) {
+    PolicySettings settings =
+        ProxyTierHarness.settings(zones, 400)
+            .linesPerSecond(3400)
+            .maxBacklogLines(5100)
+            .drainGraceUs(3_000_000)
+            .build();
+    return started(settings, 3400, zones, 400 / zones);
+  }
+
   private static ProxyTierHarness started(
       PolicySettings settings, double linesPerSecond, int zones, int proxiesPerZone) {
     ProxyTierHarness harness = new ProxyTierHarness(settings, linesPerSecond);
@@ -69,4 +86,79 @@
         EMPTY_TABLE_LIMIT_S,
         () -> canAllUse(harness, ProxyTierHarness.servers(101, 130)));
   }
+
+  /**
+   * Guards against servers of a returned zone that proxies exclude permanently: a reinstatement
+   * with its weights never fits for all proxies at once.
+   */
+  @Test
+  void serversOfAReturnedZoneAreReinstatedTableByTable() {
+    ProxyTierHarness harness = fourZones();
+    removeAndReturnZone(harness);
+    harness.runUntil("each proxy can use the zone", 5, () -> canAllUse(harness, RETURNED_ZONE));
+  }
+
+  /**
+   * Guards against drains that wait for reinstatements at all proxies at once, which would take
+   * 2,600 lines.
+   */
+  @Test
+  void aDrainDuringTheReturnOfAZoneIsPassedOnInTime() {
+    for (int ticksAfterReturn = 0; ticksAfterReturn < 10; ticksAfterReturn++) {
+      ProxyTierHarness harness = fourZones(50);
+      removeAndReturnZone(harness);
+      harness.runTicks(ticksAfterReturn);
+      harness.changeLifecycle(Set.of(1L), Lifecycle.DRAINING);
+      double arrivedS =
+          harness.runUntil("the drain is passed on", 1.5, () -> !harness.isAnyUsed(Set.of(1L)));
+      assertTrue(arrivedS <= 1.8, "the drain arrives after " + arrivedS + " s");
+    }
+  }
+
+  private static void removeAndReturnZone(ProxyTierHarness harness) {
+    harness.changeLifecycle(RETURNED_ZONE, Lifecycle.REMOVED);
+    harness.runTicks(50);
+    List<ServerEntry> returned = new ArrayList<>();
+    for (long id : RETURNED_ZONE) {
+      returned.add(TestServers.readyServer(id, 0, harness.fixture.nowUs));
+    }
+    harness.updateEndpoints(returned);
+  }
+
+  /**
+   * Guards against drains that are never passed on, and with them no other change: an ejection
+   * never fits for all proxies at once.
+   */
+  @Test
+  void ejectionsThatNeverFitForAllProxiesArePublishedTableByTable() {
+    ProxyTierHarness harness = fourHundredProxies(2);
+    harness.changeLifecycle(Set.of(1L, 2L), Lifecycle.DRAINING);
+    double arrivedS =
+        harness.runUntil("drains are passed on", 3, () -> !harness.isAnyUsed(Set.of(1L, 2L)));
+    assertTrue(arrivedS <= 3.3, "drains arrive after " + arrivedS + " s");
+  }
+
+  /**
+   * Guards against silence about a table with more proxies than the channel can reach with one
+   * update, and against other updates that wait for it.
+   */
+  @Test
+  void updatesThatExceedTheChannelAreLoggedAndDoNotBlockOthers() {
+    PolicySettings settings =
+        ProxyTierHarness.settings(2, 401).linesPerSecond(3000).maxBacklogLines(4500).build();
+    ProxyTierHarness harness = new ProxyTierHarness(settings, 3000);
+    harness.start(TestServers.readyServers(30, 1), 1, 400);
+    harness.runUntil("all proxies are bound", 30, harness::areAllBound);
+    assertEquals(List.of(), harness.commands.logLines);
+    harness.changeLifecycle(Set.of(1L), Lifecycle.DRAINING);
+    harness.runTicks(2);
+    harness.join(400, 1);
+    harness.runUntil("a proxy of another zone is bound", 3, harness::areAllBound);
+    assertTrue(
+        harness.commands.logLines.contains(
+            "update channel too small: 1 updates deferred so far, the last: 4800 lines for 400"
+                + " proxies, of 4275 that the channel holds"),
+        harness.commands.logLines.toString());
+    assertTrue(harness.commands.logLines.size() < 10, "log lines of repeated attempts are thinned");
+  }
 }
