Transport: bound what closed connections leave to read, and yield after each read

Cause: Linux grows a receive buffer to megabytes, and what is in it is read even after a reset. Some 750 connections of a client that had gone were read on, 256 KiB of each before the next one's turn; they held the descriptors, and unidentified connections of others were evicted for them.

Change: the receive buffer is 16 KiB, and a connection yields to all others after one read.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,12 @@
 bench-mixed: bench-classes
 	java -Xmx1g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.scale.MixedBench $(OLD)
 
+# Clients that misbehave, against an assigner with the deployed run line. ARGS: its options, which --help lists. A run takes
+# under 4 minutes.
+.PHONY: bench-clients
+bench-clients: bench-classes
+	java -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.server.ClientPressureBench $(ARGS)
+
 bench-intake: bench-classes
 	java -Xmx1g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.intake.IntakeBench $(QUICK)
 
--- a/src/main/java/pearusher/transport/StreamConnection.java
+++ b/src/main/java/pearusher/transport/StreamConnection.java
@@ -32,9 +32,6 @@
    */
   private static final int MAX_UNIDENTIFIED_MESSAGE_BYTES = 8 << 10;
 
-  /** Number of reads after which a peer that sends continuously yields to other connections. */
-  private static final int MAX_CONSECUTIVE_READS = 16;
-
   /**
    * Objects that all connections of a listening socket share.
    *
@@ -106,21 +103,21 @@
     }
   }
 
+  /**
+   * Reads once. A peer that has sent more yields to all other connections before the next read, so
+   * that hundreds of peers that send continuously, or have sent much and closed, delay no other.
+   */
   private void readAvailable(ByteBuffer buffer) throws IOException, MalformedMessageException {
-    boolean completedAny = false;
-    for (int reads = 0; reads < MAX_CONSECUTIVE_READS; reads++) {
-      buffer.clear().flip();
-      int count = getEndPoint().fill(buffer);
-      if (count < 0) {
-        close(TerminationReason.CLOSED);
-        return;
-      }
-      if (count == 0) {
-        break;
-      }
+    buffer.clear().flip();
+    int count = getEndPoint().fill(buffer);
+    if (count < 0) {
+      close(TerminationReason.CLOSED);
+      return;
+    }
+    if (count > 0) {
       entry.onBytesReceived();
-      completedAny |= processMessages(buffer);
     }
+    boolean completedAny = processMessages(buffer);
     registry.onRead(entry, completedAny);
     fillInterested();
   }
--- a/src/main/java/pearusher/transport/StreamServer.java
+++ b/src/main/java/pearusher/transport/StreamServer.java
@@ -33,6 +33,12 @@
   private static final int ACCEPT_BACKLOG = 1024;
   private static final int READ_BUFFER_BYTES = 16 << 10;
 
+  /**
+   * Size of the kernel's receive buffer of a connection, which Linux doubles. What a peer has sent
+   * before it closed or reset its connection is still read, and occupies a descriptor until then.
+   */
+  private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
+
   /** Number of checks for expired connections per identification timeout. */
   private static final int EXPIRY_CHECKS_PER_TIMEOUT = 16;
 
@@ -96,6 +102,8 @@
   public InetSocketAddress listen() throws Exception {
     serverChannel = ServerSocketChannel.open();
     serverChannel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    // Accepted connections inherit the size, which must be set before they are established.
+    serverChannel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
     serverChannel.bind(config.listen(), ACCEPT_BACKLOG);
     serverChannel.configureBlocking(false);
     start();
