Policy: count the receivers of an ejection only where there are many proxies

Each iteration with a pending ejection went through all proxies for each pending server to see whether the ejection can ever fit. Where one line to all proxies fits, none needs to be counted.

Bench: the clients' pressures start the assigner by the classes that the scale bench has for it, in place of a copy.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 # under 4 minutes.
 .PHONY: bench-clients
 bench-clients: bench-classes
-	java -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.server.ClientPressureBench $(ARGS)
+	java -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.scale.ClientPressureBench $(ARGS)
 
 bench-intake: bench-classes
 	java -Xmx1g -cp target/classes:target/test-classes:$$(cat target/bench.cp) pearusher.intake.IntakeBench $(QUICK)
--- a/src/bench/java/pearusher/server/ClientPressure.java
+++ b/src/bench/java/pearusher/scale/ClientPressure.java
@@ -1,4 +1,4 @@
-package pearusher.server;
+package pearusher.scale;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -87,7 +87,7 @@
   UNKNOWN_KINDS {
     @Override
     void play(InetSocketAddress address, Deadline deadline) throws IOException {
-      sendRepeatedly(address, deadline, repeat(message("nonsense", "a", "b"), 500));
+      sendRepeatedly(address, deadline, repeat(RespWriter.encode("nonsense", "a", "b"), 500));
     }
   },
 
@@ -114,7 +114,8 @@
       for (int k = 0; !deadline.isPassed(); k = (k + 1) % 60) {
         try (Socket socket = connect(address)) {
           writeUnlessClosed(
-              socket, message(("joined proxy " + k + " zone north weight 1 fresh 1").split(" ")));
+              socket,
+              RespWriter.encode(("joined proxy " + k + " zone north weight 1 fresh 1").split(" ")));
         }
       }
     }
@@ -124,7 +125,7 @@
   UNREAD_PINGS {
     @Override
     void play(InetSocketAddress address, Deadline deadline) throws IOException {
-      byte[] pings = repeat(message("ping"), 1_000);
+      byte[] pings = repeat(RespWriter.encode("ping"), 1_000);
       while (!deadline.isPassed()) {
         try (Socket socket = connect(address)) {
           while (!deadline.isPassed() && writeUnlessClosed(socket, pings)) {}
@@ -282,7 +283,7 @@
     List<Socket> sockets = new ArrayList<>();
     for (int k = 0; k < count; k++) {
       Socket socket = connect(address);
-      socket.getOutputStream().write(message("collector", "zone", "north"));
+      socket.getOutputStream().write(RespWriter.encode("collector", "zone", "north"));
       sockets.add(socket);
     }
     return sockets;
@@ -335,15 +336,6 @@
                 ("heard zone north server " + server + " tries 2 failed 0 mean_ms 40 span_ms 1000")
                     .split(" ")));
     strings.addAll(List.of(further));
-    return message(strings.toArray(new String[0]));
-  }
-
-  /** Encodes a message. */
-  static byte[] message(String... strings) {
-    StringBuilder message = new StringBuilder("*" + strings.length + "\r\n");
-    for (String string : strings) {
-      message.append('$').append(string.length()).append("\r\n").append(string).append("\r\n");
-    }
-    return ascii(message.toString());
+    return RespWriter.encode(strings.toArray(new String[0]));
   }
 }
--- a/src/main/java/pearusher/policy/EjectionPublisher.java
+++ b/src/main/java/pearusher/policy/EjectionPublisher.java
@@ -51,7 +51,7 @@
   boolean publish(long nowUs) {
     double costLines = costLines();
     boolean late = isLate(nowUs, costLines);
-    if (!surge.isActive() && ejections.anyEjection(this::exceedsIdleChannel)) {
+    if (!surge.isActive() && isAnyTooLargeForIdleChannel()) {
       publishByTable();
     } else if (isPublicationDue(costLines, late)) {
       ejections.publishEjections(this::publishOne);
@@ -104,8 +104,14 @@
     return surge.isActive() ? weights.removeFromTables(server, PRIORITY) : eject(server);
   }
 
-  private boolean exceedsIdleChannel(long server) {
-    return !channel.limits().fitsIdleChannel(PRIORITY, recipients(server).size(), 1);
+  private boolean isAnyTooLargeForIdleChannel() {
+    // Few proxies need no count of those that may use each server.
+    return !fitsIdleChannel(fleet.proxies().size())
+        && ejections.anyEjection(server -> !fitsIdleChannel(recipients(server).size()));
+  }
+
+  private boolean fitsIdleChannel(int proxies) {
+    return channel.limits().fitsIdleChannel(PRIORITY, proxies, 1);
   }
 
   /**
@@ -141,8 +147,13 @@
 
   /** Returns whether a pending ejection waits for the channel to drain. */
   boolean isAnyWaitingForChannel() {
-    return ejections.anyEjection(
-        server -> !channel.limits().exceedsChannel(recipients(server).size(), 1));
+    return exceedsChannel(fleet.proxies().size())
+        ? ejections.anyEjection(server -> !exceedsChannel(recipients(server).size()))
+        : ejections.hasEjections();
+  }
+
+  private boolean exceedsChannel(int proxies) {
+    return channel.limits().exceedsChannel(proxies, 1);
   }
 
   private List<Integer> recipients(long server) {
