Policy: publish waiting ejections together once all of them fit

Cause: an ejection takes a message to each proxy, 1,776 lines. Few pending ejections were published as soon as the backlog was low and the oldest one fitted: it went alone, the others waited.

Change: ejections that fit together are published once all of them fit, as the design says. A batch that never fits is published in parts, as before.

The drains during a zone's return are tested at 25 to 50 proxies a zone now.

--- a/src/main/java/pearusher/policy/EjectionPublisher.java
+++ b/src/main/java/pearusher/policy/EjectionPublisher.java
@@ -90,10 +90,13 @@
     boolean large =
         many && costLines > (PRIORITY.backlogShare - FEW_EJECTIONS_BACKLOG_SHARE) * maxBacklogLines;
     double backlogShare = large ? MANY_EJECTIONS_BACKLOG_SHARE : FEW_EJECTIONS_BACKLOG_SHARE;
-    // A small batch that would be late is the rest of a large one that did not fit. It is published
-    // as soon as it fits.
-    return channel.backlogLines() <= maxBacklogLines * backlogShare
-        || ((many || late) && channel.fits(costLines, PRIORITY));
+    // Ejections wait until all of them fit, since each message has its overhead for every proxy. A
+    // small batch that would be late is the rest of a large one: it is published as soon as it
+    // fits.
+    boolean fits = channel.fits(costLines, PRIORITY);
+    boolean fitsNever = costLines > channel.limits().maxBacklogLines(PRIORITY);
+    boolean hasDrained = channel.backlogLines() <= maxBacklogLines * backlogShare;
+    return fitsNever ? hasDrained : fits && (hasDrained || many || late);
   }
 
   /**
--- a/src/test/java/pearusher/policy/LargeUpdateTest.java
+++ b/src/test/java/pearusher/policy/LargeUpdateTest.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Updates of which a single line to all receivers exceeds the limit of its priority. */
 class LargeUpdateTest {
@@ -100,12 +102,13 @@
 
   /**
    * Guards against drains that wait for reinstatements at all proxies at once, which would take
-   * 2,600 lines.
+   * 2,600 lines at 50 proxies a zone.
    */
-  @Test
-  void aDrainDuringTheReturnOfAZoneIsPassedOnInTime() {
+  @ParameterizedTest
+  @ValueSource(ints = {25, 37, 45, 49, 50})
+  void aDrainDuringTheReturnOfAZoneIsPassedOnInTime(int proxiesPerZone) {
     for (int ticksAfterReturn = 0; ticksAfterReturn < 10; ticksAfterReturn++) {
-      ProxyTierHarness harness = fourZones(50);
+      ProxyTierHarness harness = fourZones(proxiesPerZone);
       removeAndReturnZone(harness);
       harness.runTicks(ticksAfterReturn);
       harness.changeLifecycle(Set.of(1L), Lifecycle.DRAINING);
@@ -161,4 +164,28 @@
         harness.commands.logLines.toString());
     assertTrue(harness.commands.logLines.size() < 10, "log lines of repeated attempts are thinned");
   }
+
+  /**
+   * Guards against ejections of a rolling deploy that each take a message to every proxy, while the
+   * others wait and arrive late: the first one that found room was sent alone.
+   */
+  @Test
+  void ejectionsThatWaitForTheChannelAreSentTogether() {
+    PolicySettings settings =
+        ProxyTierHarness.settings(4, 148)
+            .linesPerSecond(3400)
+            .maxBacklogLines(5100)
+            .drainGraceUs(1_500_000)
+            .build();
+    ProxyTierHarness harness = started(settings, 3400, 4, 37);
+    harness.runUntil("the channel is idle", 30, () -> harness.channel.backlogLines() == 0);
+    harness.changeLifecycle(Set.of(1L), Lifecycle.DRAINING);
+    harness.runTick();
+    assertEquals(Set.of(1L), harness.commands.ejected);
+    harness.changeLifecycle(Set.of(2L, 3L, 4L), Lifecycle.DRAINING);
+    double arrivedS =
+        harness.runUntil("more are ejected", 1, () -> harness.commands.ejected.size() > 1);
+    assertEquals(Set.of(1L, 2L, 3L, 4L), harness.commands.ejected, "in one message to each proxy");
+    assertTrue(arrivedS <= 1.8, "the last drain arrives after " + arrivedS + " s");
+  }
 }
--- a/src/test/java/pearusher/protocol/LoadReportParserTest.java
+++ b/src/test/java/pearusher/protocol/LoadReportParserTest.java
@@ -23,7 +23,10 @@
     "'queue:9','0,0'",
     "'',''",
     "'nonsense',''",
-    "'util:NaN',''"
+    "'util:NaN',''",
+    "'util:0.5,queue:1,util:0.7','0.7,0'",
+    "'util:0.5,util:x,queue:1','0,0'",
+    "' util : 0.5 ,,inflight:3,','0.5,3'"
   })
   void metricsAreParsedByName(String load, String expected) {
     StringBuilder actual = new StringBuilder();
