Policy: size a table's batch of ejections by the limit of ejections, not the queue

Callers could see: with 400 proxies and 20 drains at once, a table's batch filled the queue to 4,800 of 4,845 lines. It has to wait until nearly all earlier updates are acknowledged, which a few silent proxies never do; it is then sent seconds later. Found by reading, not in a case.

Change: the batch holds as many ejections as fit the limit of ejections (0.9), and one at least.

--- a/src/main/java/pearusher/policy/ChannelLimits.java
+++ b/src/main/java/pearusher/policy/ChannelLimits.java
@@ -29,7 +29,7 @@
    * Size of such messages that is accepted whatever part of a drain grace period they take, in
    * multiples of the update that exceeds the limit by itself.
    */
-  private static final double MAX_LINES_PER_LINE = 1.25;
+  private static final double MAX_LINES_PER_OVERSIZED_LINE = 1.25;
 
   /**
    * Backlog below which the channel is nearly idle, as a share of the deferrable limit divided by
@@ -93,7 +93,7 @@
     double sharedMessageLines =
         Math.min(
             MAX_LINES_PER_OVERHEAD_LINE * overheadLines,
-            Math.max(maxSharedMessageLines(priority), MAX_LINES_PER_LINE * updateLines));
+            Math.max(maxSharedMessageLines(priority), MAX_LINES_PER_OVERSIZED_LINE * updateLines));
     return Math.max(updateLines + nearlyIdleLines(), sharedMessageLines);
   }
 
@@ -113,9 +113,12 @@
     return updateLines(proxies, linesEach) > maxUnacknowledgedLines();
   }
 
-  /** Returns the content lines for each of some proxies that the channel may hold; at least 1. */
-  long maxLinesEach(int proxies) {
-    double linesEach = maxUnacknowledgedLines() / Math.max(1, proxies) - messageLines(1) + 1;
+  /**
+   * Returns the content lines for each of some proxies that an update may have within the limit of
+   * its priority; at least 1.
+   */
+  long maxLinesEach(ChannelPriority priority, int proxies) {
+    double linesEach = maxBacklogLines(priority) / Math.max(1, proxies) - updateLines(1, 0);
     return (long) Math.max(1, linesEach);
   }
 
--- a/src/main/java/pearusher/policy/EjectionPublisher.java
+++ b/src/main/java/pearusher/policy/EjectionPublisher.java
@@ -132,7 +132,7 @@
     List<Long> ejected =
         ejections.ejected().stream()
             .filter(table::lists)
-            .limit(channel.limits().maxLinesEach(proxies))
+            .limit(channel.limits().maxLinesEach(PRIORITY, proxies))
             .toList();
     if (!ejected.isEmpty() && channel.reserve(table.subscribers, ejected.size(), PRIORITY)) {
       ejected.forEach(server -> weights.setWeight(tableNumber, table, server, 0));
--- a/src/test/java/pearusher/policy/LargeUpdateTest.java
+++ b/src/test/java/pearusher/policy/LargeUpdateTest.java
@@ -141,6 +141,23 @@
     assertTrue(arrivedS <= 3.3, "drains arrive after " + arrivedS + " s");
   }
 
+  /**
+   * Guards against ejections that fill the channel up to its last lines: they would wait until each
+   * proxy has acknowledged all earlier updates, and some never do.
+   */
+  @Test
+  void manyEjectionsOfATableStayWithinTheLimitOfEjections() {
+    ProxyTierHarness harness = fourHundredProxies(2);
+    harness.runUntil("the channel is idle", 60, () -> harness.channel.backlogLines() == 0);
+    harness.channel.maxBacklogLines = 0;
+    Set<Long> draining = ProxyTierHarness.servers(1, 20);
+    harness.changeLifecycle(draining, Lifecycle.DRAINING);
+    harness.runUntil("drains are passed on", 10, () -> !harness.isAnyUsed(draining));
+    assertTrue(
+        harness.channel.maxBacklogLines <= 0.9 * 5100,
+        "largest backlog: " + harness.channel.maxBacklogLines + " lines");
+  }
+
   /**
    * Guards against silence about a table with more proxies than the channel can reach with one
    * update, and against other updates that wait for it.
--- a/src/test/java/pearusher/server/DeployedAssigner.java
+++ b/src/test/java/pearusher/server/DeployedAssigner.java
@@ -27,15 +27,20 @@
   /** Starts an assigner with the example configuration and waits until it is ready. */
   static DeployedAssigner start(Path directory) throws Exception {
     AssignerProcesses processes = new AssignerProcesses(directory);
-    int port = processes.holdPort();
-    Process process =
-        processes.launch(
-            new ExampleConfig().listen("127.0.0.1:" + port).write(directory),
-            LOG,
-            List.of("/bin/sh", "-c", AssignerProcesses.deployCommand()));
-    processes.awaitReady(LOG);
-    return new DeployedAssigner(
-        processes, process, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    try {
+      int port = processes.holdPort();
+      Process process =
+          processes.launch(
+              new ExampleConfig().listen("127.0.0.1:" + port).write(directory),
+              LOG,
+              List.of("/bin/sh", "-c", AssignerProcesses.deployCommand()));
+      processes.awaitReady(LOG);
+      return new DeployedAssigner(
+          processes, process, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    } catch (Exception | AssertionError e) {
+      processes.close();
+      throw e;
+    }
   }
 
   boolean isAlive() {
